Set down the workspace, the core types and the public headers

Cause: everything else builds on the folders, the closed list of error kinds, handles and tables, and the narrow headers of each library. Change: base is written and tested; the other libraries have their headers and an empty source. Conclusion: the libraries can now be written side by side.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,59 @@
+# A thin front to CMake.
+BUILD ?= build
+JOBS ?= $(shell nproc)
+# Cases of a longer fuzzing run; the tests run a fixed smaller number.
+FUZZ_RUNS ?= 2000000
+
+CMAKE = cmake -DCMAKE_C_COMPILER=clang -DCMAKE_CXX_COMPILER=clang++ \
+	-DCMAKE_MESSAGE_LOG_LEVEL=WARNING
+COMPILE = cmake --build $(1) -j $(JOBS) -- --no-print-directory
+SANITIZERS = address,undefined
+
+.PHONY: all packages build build-fuzz test test-fuzz check lint format fuzz \
+	check-sanitize clean
+
+all: build
+
+packages:
+	@sh tools/install-packages
+
+build:
+	@$(CMAKE) -S . -B $(BUILD)
+	@$(call COMPILE,$(BUILD))
+
+build-fuzz:
+	@$(CMAKE) -S . -B $(BUILD)-fuzz -DMC_FUZZ=ON \
+		-DMC_SANITIZE=$(SANITIZERS)
+	@$(call COMPILE,$(BUILD)-fuzz)
+
+test: build
+	@sh tools/run-tests $(BUILD)
+
+test-fuzz: build-fuzz
+	@sh tools/run-tests $(BUILD)-fuzz
+
+check: packages lint test test-fuzz
+
+# The unit and system tests again, built with sanitizers.
+check-sanitize:
+	@$(CMAKE) -S . -B $(BUILD)-asan -DMC_SANITIZE=$(SANITIZERS)
+	@$(call COMPILE,$(BUILD)-asan)
+	@sh tools/run-tests $(BUILD)-asan
+	@$(CMAKE) -S . -B $(BUILD)-tsan -DMC_SANITIZE=thread
+	@$(call COMPILE,$(BUILD)-tsan)
+	@sh tools/run-tests $(BUILD)-tsan
+
+fuzz: build-fuzz
+	@for f in $(BUILD)-fuzz/tests/fuzz/*_fuzz; do \
+		$$f -seed=$$(date +%s) -runs=$(FUZZ_RUNS) -max_len=2048 \
+			-timeout=20 || exit 1; \
+	done
+
+lint: build
+	@sh tools/lint $(BUILD)
+
+format:
+	@git ls-files '*.c' '*.h' | xargs clang-format -i
+
+clean:
+	@rm -rf $(BUILD) $(BUILD)-fuzz $(BUILD)-asan $(BUILD)-tsan
--- /dev/null
+++ b/src/base/error.c
@@ -0,0 +1,63 @@
+/*
+ * The table from error kinds to answers, and each thread's last message.
+ */
+#include "mc/base/error.h"
+
+#include <stdarg.h>
+#include <stdio.h>
+#include <string.h>
+
+enum {
+	MESSAGE_SIZE = 512,
+};
+
+static _Thread_local char last_message[MESSAGE_SIZE];
+
+const mc_error_answer_t *mc_error_answer(mc_err_t kind)
+{
+	static const mc_error_answer_t answers[] = {
+#define X(kind, text, status, certain, retry) \
+	[MC_ERR_##kind] = {                   \
+		.name = text,                 \
+		.http_status = status,        \
+		.not_run = certain,           \
+		.retry_after = retry,         \
+	},
+		MC_ERROR_KINDS(X)
+#undef X
+	};
+
+	if ((unsigned)kind >= MC_ERR_COUNT)
+		kind = MC_ERR_INTERNAL;
+	return &answers[kind];
+}
+
+const char *mc_error_name(mc_err_t kind)
+{
+	return mc_error_answer(kind)->name;
+}
+
+mc_err_t mc_error_from_name(const char *name)
+{
+	int i;
+
+	for (i = 0; i < MC_ERR_COUNT; i++)
+		if (!strcmp(name, mc_error_name((mc_err_t)i)))
+			return (mc_err_t)i;
+	return MC_ERR_INTERNAL;
+}
+
+mc_err_t mc_fail(mc_err_t kind, const char *format, ...)
+{
+	va_list args;
+
+	va_start(args, format);
+	vsnprintf(last_message, sizeof(last_message), format, args);
+	va_end(args);
+	return kind;
+}
+
+const char *mc_last_message(void)
+{
+	return last_message;
+}
--- /dev/null
+++ b/src/base/include/mc/base.h
@@ -0,0 +1,19 @@
+/*
+ * Public header of the base library: what every other library builds on. It
+ * holds no state of its own but the last error message of each thread.
+ */
+#ifndef MC_BASE_H
+#define MC_BASE_H
+
+#include "mc/base/clock.h"
+#include "mc/base/counter.h"
+#include "mc/base/error.h"
+#include "mc/base/hash.h"
+#include "mc/base/log.h"
+#include "mc/base/random.h"
+#include "mc/base/table.h"
+
+/** MC_ARRAY_LEN - number of elements of an array */
+#define MC_ARRAY_LEN(a) (sizeof(a) / sizeof((a)[0]))
+
+#endif
--- /dev/null
+++ b/src/base/random.c
@@ -0,0 +1,32 @@
+/*
+ * Random numbers by libc's 48-bit generator, with the state passed in.
+ */
+#include "mc/base/random.h"
+
+#include <stdlib.h>
+
+enum {
+	WORD_BITS = 16,
+};
+
+void mc_random_seed(mc_random_t *random, uint64_t seed)
+{
+	random->state[0] = (unsigned short)seed;
+	random->state[1] = (unsigned short)(seed >> WORD_BITS);
+	random->state[2] = (unsigned short)(seed >> (2 * WORD_BITS));
+}
+
+uint32_t mc_random_u32(mc_random_t *random)
+{
+	return (uint32_t)nrand48(random->state);
+}
+
+uint32_t mc_random_below(mc_random_t *random, uint32_t bound)
+{
+	return bound ? (uint32_t)(erand48(random->state) * bound) : 0;
+}
+
+double mc_random_unit(mc_random_t *random)
+{
+	return erand48(random->state);
+}
--- /dev/null
+++ b/src/net/include/mc/net.h
@@ -0,0 +1,13 @@
+/*
+ * Public header of the net library: shards (a thread with an event loop, a
+ * lock, timers and an inbox), framed links between processes, and HTTP clients
+ * and servers that run on a shard's loop. Nothing here waits but the loop.
+ */
+#ifndef MC_NET_H
+#define MC_NET_H
+
+#include "mc/net/http.h"
+#include "mc/net/link.h"
+#include "mc/net/shard.h"
+
+#endif
--- /dev/null
+++ b/src/net/net.c
@@ -0,0 +1,4 @@
+/*
+ * Stub.
+ */
+#include "mc/net.h"
--- /dev/null
+++ b/src/settings/include/mc/settings.h
@@ -0,0 +1,108 @@
+/*
+ * Public header of the settings library: a process's own settings, read from
+ * a TOML file and checked whole.
+ *
+ *	data_center = "north"
+ *	platform = "127.0.0.1:7000"       # the platform's store and list
+ *	peers = ["127.0.0.1:7101", ...]   # peers to start from
+ *	shards = 2                        # threads, 1..64
+ *	log_level = "info"
+ *	seed = 1                          # of random choices; 0: from the clock
+ *	grace_ms = 10000                  # time for a planned stop
+ *	[front]
+ *	callers = "127.0.0.1:8080"        # where callers are served
+ *	peer = "127.0.0.1:7100"           # where peers reach this front
+ *	[gather]
+ *	peer = "127.0.0.1:7101"           # where fronts and peers reach it
+ *	[policy]
+ *	owners = 8                        # owner gathers of a target, 1..64
+ *	replica = "two_choices" | "round_robin" | "hash"
+ *	limit = "adaptive" | "fixed" | "none"
+ *	ramp = "on" | "off"
+ *	hedge = "p95" | "none"
+ *	retry = "budget" | "none" | "unbounded"
+ *	admission = "class" | "none"
+ *	extra_percent = 5                 # hedges, and retries, per 100
+ *	concurrency = 1024                # requests at a time in one front
+ *
+ * A process reads the tables of its own role; both roles may stand in a file.
+ */
+#ifndef MC_SETTINGS_H
+#define MC_SETTINGS_H
+
+#include "mc/base.h"
+
+enum {
+	MC_ADDRESS_SIZE = 64,
+	MC_SEEDS_MAX = 64,
+	MC_THREADS_MAX = 64,
+	MC_OWNERS_MAX = 64,
+};
+
+/** enum mc_role_t - what a process does */
+typedef enum mc_role_t {
+	MC_ROLE_FRONT,
+	MC_ROLE_GATHER,
+} mc_role_t;
+
+/** struct mc_policy_t - names of the policies and their parameters */
+typedef struct mc_policy_t {
+	uint32_t owners;
+	char replica[16];
+	char limit[16];
+	char ramp[16];
+	char hedge[16];
+	char retry[16];
+	char admission[16];
+	uint32_t extra_percent;
+	uint32_t concurrency;
+} mc_policy_t;
+
+/**
+ * struct mc_settings_t - settings of one process
+ *
+ * The fields are the file's keys; durations in ms.
+ */
+typedef struct mc_settings_t {
+	char data_center[64];
+	char platform[MC_ADDRESS_SIZE];
+	uint32_t peer_count;
+	char peers[MC_SEEDS_MAX][MC_ADDRESS_SIZE];
+	uint32_t shards;
+	mc_log_level_t log_level;
+	uint64_t seed;
+	mc_ms_t grace;
+	char callers[MC_ADDRESS_SIZE];
+	char front_peer[MC_ADDRESS_SIZE];
+	char gather_peer[MC_ADDRESS_SIZE];
+	mc_policy_t policy;
+} mc_settings_t;
+
+/**
+ * mc_settings_parse() - read and check settings
+ * @text: TOML text
+ * @size: bytes of @text
+ * @role: the role whose tables must be there
+ * @settings: receives the settings, with defaults for absent keys
+ * @faults: receives one line per fault, "line N: key: expected ..."
+ * @faults_size: bytes of @faults
+ *
+ * Return: MC_OK or MC_ERR_BAD_SETTINGS.
+ */
+mc_err_t mc_settings_parse(const char *text, size_t size, mc_role_t role,
+			   mc_settings_t *settings, char *faults,
+			   size_t faults_size);
+
+/**
+ * mc_address_split() - check and split "IP:port"
+ * @address: IPv4 number or IPv6 number in brackets, a colon, a port
+ * @host: receives the IP number
+ * @host_size: bytes of @host
+ * @port: receives the port
+ *
+ * Return: MC_OK or MC_ERR_BAD_SETTINGS.
+ */
+mc_err_t mc_address_split(const char *address, char *host, size_t host_size,
+			  uint16_t *port);
+
+#endif
--- /dev/null
+++ b/src/settings/settings.c
@@ -0,0 +1,4 @@
+/*
+ * Stub.
+ */
+#include "mc/settings.h"
--- /dev/null
+++ b/src/toml/toml.cc
@@ -0,0 +1,3 @@
+extern "C" {
+#include "mc/toml.h"
+}
