--- a/src/move/move.c
+++ b/src/move/move.c
@@ -1,4 +1,323 @@
 /*
- * Stub.
+ * A mover from outside: which moves the configuration names, the events that
+ * arrive and what is asked. Evidence, judgement and schedule are in files of
+ * their own.
  */
-#include "mc/move.h"
+#include "move_defs.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum {
+	/* Failures of a route that are each judged at once. */
+	JUDGED_AT_ONCE = 64,
+};
+
+mc_mover_t *mc_mover_create(uint64_t origin)
+{
+	mc_mover_t *mover = calloc(1, sizeof(*mover));
+
+	if (!mover)
+		return NULL;
+	mover->origin = origin;
+	mover->moves = mc_table_create(sizeof(mc_mover_move_t), MC_MOVES_MAX);
+	if (mover->moves)
+		return mover;
+	free(mover);
+	return NULL;
+}
+
+void mc_mover_destroy(mc_mover_t *mover)
+{
+	mc_mover_move_t *move;
+	mc_handle_t handle;
+	uint32_t cursor = 0;
+
+	if (!mover)
+		return;
+	while ((move = mc_table_next(mover->moves, &cursor, &handle)))
+		mc_table_destroy(move->origins);
+	mc_table_destroy(mover->moves);
+	free(mover->by_service);
+	free(mover);
+}
+
+static uint64_t move_hash(const mc_config_t *config, const mc_move_t *row)
+{
+	const char *service = config->services[row->service].name;
+	uint64_t versions = mc_hash_pair(mc_hash_string(row->from),
+					 mc_hash_string(row->to));
+
+	return mc_hash_pair(mc_hash_pair(mc_hash_string(service), versions),
+			    (uint64_t)row->start);
+}
+
+static mc_mover_move_t *find_move(const mc_mover_t *mover, uint64_t hash,
+				  mc_handle_t *found)
+{
+	mc_mover_move_t *move;
+	mc_handle_t handle;
+	uint32_t cursor = 0;
+
+	while ((move = mc_table_next(mover->moves, &cursor, &handle)))
+		if (move->hash == hash) {
+			*found = handle;
+			return move;
+		}
+	return NULL;
+}
+
+static mc_mover_move_t *move_at(const mc_mover_t *mover, uint32_t index)
+{
+	return mc_table_get(mover->moves, mover->order[index]);
+}
+
+static mc_mover_move_t *service_move(const mc_mover_t *mover, mc_row_t service)
+{
+	if (service >= mover->service_count)
+		return NULL;
+	return mc_table_get(mover->moves, mover->by_service[service]);
+}
+
+static bool version_is_gone(const mc_config_t *config, const mc_move_t *row)
+{
+	uint32_t i;
+
+	for (i = 0; i < config->target_count; i++)
+		if (config->targets[i].service == row->service &&
+		    !strcmp(config->targets[i].version, row->from))
+			return false;
+	return true;
+}
+
+static mc_err_t add_move(mc_mover_t *mover, uint64_t hash, const mc_move_t *row,
+			 mc_ms_t wall, mc_handle_t *handle)
+{
+	mc_mover_move_t *move;
+	void *record;
+	mc_err_t err = mc_table_add(mover->moves, handle, &record);
+
+	if (err)
+		return err;
+	move = record;
+	move->hash = hash;
+	move->first_seen = wall;
+	snprintf(move->from, sizeof(move->from), "%s", row->from);
+	snprintf(move->to, sizeof(move->to), "%s", row->to);
+	snprintf(move->reason, sizeof(move->reason), "waiting for its start");
+	err = mc_move_evidence_init(move, mover->origin, wall);
+	if (!err)
+		return MC_OK;
+	mc_table_destroy(move->origins);
+	mc_table_remove(mover->moves, *handle);
+	return err;
+}
+
+/* What may change of a move that goes on. */
+static void update_move(mc_mover_move_t *move, const mc_config_t *config,
+			const mc_move_t *row, mc_ms_t wall)
+{
+	move->service = row->service;
+	move->start = row->start;
+	move->done_by = row->done_by;
+	move->without_evidence = row->without_evidence;
+	move->old_gone = version_is_gone(config, row);
+	if (row->taken_back)
+		mc_move_take_back(move, "taken back in the configuration");
+	mc_move_schedule(move, wall);
+}
+
+static mc_err_t take_row(mc_mover_t *mover, const mc_config_t *config,
+			 const mc_move_t *row, mc_ms_t wall)
+{
+	uint64_t hash = move_hash(config, row);
+	mc_handle_t handle;
+	mc_err_t err;
+
+	if (!find_move(mover, hash, &handle)) {
+		err = add_move(mover, hash, row, wall, &handle);
+		if (err)
+			return err;
+	}
+	update_move(mc_table_get(mover->moves, handle), config, row, wall);
+	mover->order[mover->count++] = handle;
+	mover->by_service[row->service] = handle;
+	return MC_OK;
+}
+
+static bool is_named(const mc_config_t *config, uint64_t hash)
+{
+	uint32_t i;
+
+	for (i = 0; i < config->move_count; i++)
+		if (move_hash(config, &config->moves[i]) == hash)
+			return true;
+	return false;
+}
+
+static void drop_unnamed(mc_mover_t *mover, const mc_config_t *config)
+{
+	mc_mover_move_t *move;
+	mc_handle_t handle;
+	uint32_t cursor = 0;
+
+	while ((move = mc_table_next(mover->moves, &cursor, &handle))) {
+		if (is_named(config, move->hash))
+			continue;
+		mc_table_destroy(move->origins);
+		mc_table_remove(mover->moves, handle);
+	}
+}
+
+mc_err_t mc_mover_config(mc_mover_t *mover, const mc_config_t *config,
+			 mc_ms_t wall)
+{
+	mc_handle_t *by_service;
+	mc_err_t err;
+	uint32_t i;
+
+	if (config->move_count > MC_MOVES_MAX)
+		return mc_fail(MC_ERR_FULL, "more than %d moves", MC_MOVES_MAX);
+	by_service = calloc(config->service_count + 1, sizeof(*by_service));
+	if (!by_service)
+		return mc_fail(MC_ERR_NO_MEMORY, "no memory for the moves");
+	free(mover->by_service);
+	mover->by_service = by_service;
+	mover->service_count = config->service_count;
+	mover->count = 0;
+	drop_unnamed(mover, config);
+	for (i = 0; i < config->move_count; i++) {
+		err = take_row(mover, config, &config->moves[i], wall);
+		if (err)
+			return err;
+	}
+	return MC_OK;
+}
+
+/* Failures of the new version are judged at once, later ones now and then. */
+static bool judges_now(const mc_mover_move_t *move, uint32_t route)
+{
+	uint64_t failed = move->total.counts[MC_MOVE_NEW][route].failed;
+
+	return failed < JUDGED_AT_ONCE || failed % JUDGED_AT_ONCE == 0;
+}
+
+void mc_mover_observe(mc_mover_t *mover, mc_row_t service, const char *version,
+		      uint32_t route, bool failed, mc_ms_t latency,
+		      mc_ms_t wall)
+{
+	mc_mover_move_t *move = service_move(mover, service);
+	uint32_t side;
+
+	if (!move || route >= MC_MOVE_ROUTES)
+		return;
+	if (!strcmp(version, move->to))
+		side = MC_MOVE_NEW;
+	else if (!strcmp(version, move->from))
+		side = MC_MOVE_OLD;
+	else
+		return;
+	mc_move_evidence_add(move, side, route, failed, latency);
+	if (failed && side == MC_MOVE_NEW && judges_now(move, route))
+		mc_move_judge_route(move, route, wall);
+}
+
+static bool tick_move(mc_mover_move_t *move, mc_ms_t wall)
+{
+	double share = move->share;
+	mc_move_state_t state = move->state;
+
+	mc_move_judge(move, wall);
+	mc_move_schedule(move, wall);
+	mc_move_evidence_mark(move, wall);
+	return share != move->share || state != move->state;
+}
+
+bool mc_mover_tick(mc_mover_t *mover, mc_ms_t wall)
+{
+	bool changed = false;
+	uint32_t i;
+
+	for (i = 0; i < mover->count; i++)
+		changed |= tick_move(move_at(mover, i), wall);
+	return changed;
+}
+
+double mc_mover_share(const mc_mover_t *mover, mc_row_t service,
+		      const char **from, const char **to)
+{
+	const mc_mover_move_t *move = service_move(mover, service);
+
+	*from = move ? move->from : NULL;
+	*to = move ? move->to : NULL;
+	return move ? move->share : 0;
+}
+
+uint32_t mc_mover_count(const mc_mover_t *mover)
+{
+	return mover->count;
+}
+
+void mc_mover_status(const mc_mover_t *mover, uint32_t index,
+		     mc_move_status_t *status)
+{
+	const mc_mover_move_t *move = move_at(mover, index);
+
+	status->service = move->service;
+	status->state = move->state;
+	status->share = move->share;
+	memcpy(status->reason, move->reason, sizeof(status->reason));
+}
+
+void mc_mover_digest(const mc_mover_t *mover, uint32_t index,
+		     mc_move_digest_t *digest)
+{
+	const mc_mover_move_t *move = move_at(mover, index);
+
+	digest->move = move->hash;
+	digest->origin = mover->origin;
+	digest->taken_back = move->taken_back;
+	memcpy(digest->reason, move->reason, sizeof(digest->reason));
+	memcpy(digest->counts, mc_move_evidence_own(move)->counts,
+	       sizeof(digest->counts));
+}
+
+bool mc_mover_merge(mc_mover_t *mover, const mc_move_digest_t *digest,
+		    mc_ms_t wall)
+{
+	mc_handle_t handle;
+	mc_mover_move_t *move = find_move(mover, digest->move, &handle);
+	bool known;
+	char reason[sizeof(digest->reason)];
+
+	if (!move)
+		return false;
+	known = move->taken_back;
+	mc_move_evidence_merge(move, digest);
+	if (digest->taken_back) {
+		snprintf(reason, sizeof(reason), "%.*s",
+			 (int)sizeof(reason) - 1, digest->reason);
+		mc_move_take_back(move, reason);
+	}
+	mc_move_judge(move, wall);
+	return !known && digest->taken_back;
+}
+
+bool mc_mover_verdict(const mc_mover_t *mover, const mc_config_t *config,
+		      mc_row_t *move)
+{
+	const mc_mover_move_t *known;
+	mc_handle_t handle;
+	uint32_t i;
+
+	for (i = 0; i < config->move_count; i++) {
+		known = find_move(mover, move_hash(config, &config->moves[i]),
+				  &handle);
+		if (!known || !known->taken_back || config->moves[i].taken_back)
+			continue;
+		*move = i;
+		return true;
+	}
+	return false;
+}
--- /dev/null
+++ b/src/move/move_judge.c
@@ -0,0 +1,263 @@
+/*
+ * Judgement of the new version, route by route, over several spans: its last
+ * few samples, the last minute and the last ten minutes. Both versions are
+ * compared over the same span, so that a fault that both share counts against
+ * neither. Where the old version has too few samples in a span, as after all
+ * traffic has moved, all its stored counts are the baseline.
+ *
+ * The new version is worse on a route when the lower bound of its failure rate
+ * is above the upper bound of the old version's by a margin, or when, for some
+ * time, the same holds for its share of slow answers. Slow is what is clearly
+ * above the bucket that 95% of the old version's answers reach.
+ */
+#include "move_defs.h"
+
+#include <stdio.h>
+
+enum {
+	/* Samples of the old version in a span that make it the baseline. */
+	BASELINE_SAMPLES = 100,
+	/* Good samples that the old version is credited with. */
+	PRIOR_SAMPLES = 100,
+	/* Samples of the new version on a route that are enough to judge. */
+	ENOUGH_SAMPLES = 20,
+	/* Slow answers go on for so long before the move is taken back, ms. */
+	SLOW_HOLD_MS = 20 * 1000,
+	/* But for no more than this part of the move's time. */
+	SLOW_HOLD_PARTS = 10,
+	/* Buckets above the old version's that still are not slow. */
+	SLOW_BUCKETS = 1,
+	/* Spans that are judged. */
+	SPANS = 3,
+};
+
+static const double FAILURE_MARGIN = 0.02;
+static const double SLOW_MARGIN = 0.1;
+static const double SLOW_TAIL = 0.05;
+/* More failures than the old version's that still are no evidence of good. */
+static const double GOOD_MARGIN = 0.05;
+
+static const char *const ROUTE_NAMES[MC_MOVE_ROUTES] = {
+	"search",
+	"run",
+	"2",
+	"3",
+};
+
+/* Counts of both versions over one span of a route. */
+typedef struct {
+	mc_move_counts_t old;
+	mc_move_counts_t new;
+} span_t;
+
+void mc_move_take_back(mc_mover_move_t *move, const char *reason)
+{
+	if (move->taken_back)
+		return;
+	move->taken_back = true;
+	move->share = 0;
+	move->state = MC_MOVE_TAKEN_BACK;
+	snprintf(move->reason, sizeof(move->reason), "%s", reason);
+}
+
+static void span_since(const mc_mover_move_t *move, uint32_t route,
+		       const mc_move_counts_t *old_mark,
+		       const mc_move_counts_t *new_mark, span_t *span)
+{
+	const mc_move_counts_t *old = &move->total.counts[MC_MOVE_OLD][route];
+
+	mc_move_since(&move->total.counts[MC_MOVE_NEW][route], new_mark,
+		      &span->new);
+	mc_move_since(old, old_mark, &span->old);
+	if (mc_move_samples(&span->old) < BASELINE_SAMPLES)
+		span->old = *old;
+}
+
+static void window_span(const mc_mover_move_t *move, uint32_t route,
+			const mc_move_window_t *window, span_t *span)
+{
+	const mc_move_sums_t *mark = &window->marks[window->next];
+
+	span_since(move, route, &mark->counts[MC_MOVE_OLD][route],
+		   &mark->counts[MC_MOVE_NEW][route], span);
+}
+
+static void get_spans(const mc_mover_move_t *move, uint32_t route,
+		      span_t spans[SPANS])
+{
+	const mc_move_block_t *block = &move->blocks[route];
+
+	span_since(move, route, &block->marks[0][MC_MOVE_OLD],
+		   &block->marks[0][MC_MOVE_NEW], &spans[0]);
+	window_span(move, route, &move->minute, &spans[1]);
+	window_span(move, route, &move->long_window, &spans[2]);
+}
+
+static bool fails_more(const span_t *span)
+{
+	uint64_t old_samples = mc_move_samples(&span->old) + PRIOR_SAMPLES;
+
+	return mc_move_rate_lower(span->new.failed,
+				  mc_move_samples(&span->new)) >
+	       mc_move_rate_upper(span->old.failed, old_samples) +
+		       FAILURE_MARGIN;
+}
+
+static uint64_t answers_above(const mc_move_counts_t *counts, uint32_t bucket)
+{
+	uint64_t sum = 0;
+
+	for (bucket++; bucket < MC_MOVE_BUCKETS; bucket++)
+		sum += counts->latency[bucket];
+	return sum;
+}
+
+/* Bucket above which the old version has only a small tail. */
+static uint32_t tail_bucket(const mc_move_counts_t *old)
+{
+	uint32_t bucket = 0;
+
+	while (bucket < MC_MOVE_BUCKETS - 1 &&
+	       (double)answers_above(old, bucket) >
+		       SLOW_TAIL * (double)old->answered)
+		bucket++;
+	return bucket;
+}
+
+static bool is_slower(const span_t *span)
+{
+	uint32_t bucket = tail_bucket(&span->old) + SLOW_BUCKETS;
+
+	if (span->old.answered < BASELINE_SAMPLES || !span->new.answered)
+		return false;
+	return mc_move_rate_lower(answers_above(&span->new, bucket),
+				  span->new.answered) >
+	       mc_move_rate_upper(answers_above(&span->old, bucket),
+				  span->old.answered) +
+		       SLOW_MARGIN;
+}
+
+static void take_back_failing(mc_mover_move_t *move, uint32_t route,
+			      const span_t *span)
+{
+	char reason[sizeof(move->reason)];
+
+	snprintf(reason, sizeof(reason),
+		 "route %s: failed new=%llu/%llu old=%llu/%llu",
+		 ROUTE_NAMES[route], (unsigned long long)span->new.failed,
+		 (unsigned long long)mc_move_samples(&span->new),
+		 (unsigned long long)span->old.failed,
+		 (unsigned long long)mc_move_samples(&span->old));
+	mc_move_take_back(move, reason);
+}
+
+static void take_back_slow(mc_mover_move_t *move, uint32_t route,
+			   const span_t *span)
+{
+	uint32_t bucket = tail_bucket(&span->old) + SLOW_BUCKETS;
+	char reason[sizeof(move->reason)];
+
+	snprintf(reason, sizeof(reason),
+		 "route %s: above %lld ms new=%llu/%llu old=%llu/%llu",
+		 ROUTE_NAMES[route], (long long)mc_move_bucket_bound(bucket),
+		 (unsigned long long)answers_above(&span->new, bucket),
+		 (unsigned long long)span->new.answered,
+		 (unsigned long long)answers_above(&span->old, bucket),
+		 (unsigned long long)span->old.answered);
+	mc_move_take_back(move, reason);
+}
+
+static mc_ms_t slow_hold(const mc_mover_move_t *move)
+{
+	mc_ms_t part = (move->done_by - move->start) / SLOW_HOLD_PARTS;
+
+	return part < SLOW_HOLD_MS ? part : SLOW_HOLD_MS;
+}
+
+/* A cold start is slow too, so being slower has to last. */
+static void judge_slow(mc_mover_move_t *move, uint32_t route,
+		       const span_t spans[SPANS], mc_ms_t wall)
+{
+	const span_t *slow = NULL;
+	uint32_t i;
+
+	for (i = 0; i < SPANS && !slow; i++)
+		if (is_slower(&spans[i]))
+			slow = &spans[i];
+	if (!slow) {
+		move->slow_since[route] = 0;
+		return;
+	}
+	if (!move->slow_since[route] || move->slow_since[route] > wall)
+		move->slow_since[route] = wall;
+	if (wall - move->slow_since[route] >= slow_hold(move))
+		take_back_slow(move, route, slow);
+}
+
+static bool is_judgeable(const mc_mover_move_t *move)
+{
+	return !move->taken_back && !move->old_gone &&
+	       move->state != MC_MOVE_FINISHED;
+}
+
+void mc_move_judge_route(mc_mover_move_t *move, uint32_t route, mc_ms_t wall)
+{
+	span_t spans[SPANS];
+	uint32_t i;
+
+	if (!is_judgeable(move) ||
+	    !mc_move_samples(&move->total.counts[MC_MOVE_NEW][route]))
+		return;
+	get_spans(move, route, spans);
+	for (i = 0; i < SPANS; i++)
+		if (fails_more(&spans[i]))
+			take_back_failing(move, route, &spans[i]);
+	if (!move->taken_back)
+		judge_slow(move, route, spans, wall);
+}
+
+static double failure_rate(const mc_move_counts_t *counts)
+{
+	uint64_t samples = mc_move_samples(counts);
+
+	return samples ? (double)counts->failed / (double)samples : 0;
+}
+
+static bool route_is_good(const mc_mover_move_t *move, uint32_t route)
+{
+	const mc_move_counts_t *old = &move->total.counts[MC_MOVE_OLD][route];
+	const mc_move_counts_t *new = &move->total.counts[MC_MOVE_NEW][route];
+
+	return mc_move_samples(new) >= ENOUGH_SAMPLES &&
+	       !move->slow_since[route] &&
+	       failure_rate(new) <= failure_rate(old) + GOOD_MARGIN;
+}
+
+/* Enough good evidence on every route that the old version has traffic on. */
+static bool is_good(const mc_mover_move_t *move)
+{
+	uint32_t routes = 0, route;
+
+	for (route = 0; route < MC_MOVE_ROUTES; route++) {
+		if (!mc_move_samples(&move->total.counts[MC_MOVE_OLD][route]))
+			continue;
+		if (!route_is_good(move, route))
+			return false;
+		routes++;
+	}
+	return routes > 0;
+}
+
+void mc_move_judge(mc_mover_move_t *move, mc_ms_t wall)
+{
+	uint32_t route;
+
+	for (route = 0; route < MC_MOVE_ROUTES; route++)
+		mc_move_judge_route(move, route, wall);
+	if (move->judged || !is_judgeable(move) || !is_good(move))
+		return;
+	move->judged = true;
+	move->judged_at = wall;
+	snprintf(move->reason, sizeof(move->reason),
+		 "enough evidence, as good as the old version");
+}
