--- a/src/member/member.c
+++ b/src/member/member.c
@@ -131,8 +131,10 @@
 		return;
 	notice_pause(membership, now);
 	mc_member_apply(membership, &message->from, now);
+	membership->syncing = mc_member_sync_awaited(membership, message);
 	for (i = 0; i < message->update_count; i++)
 		mc_member_apply(membership, &message->updates[i], now);
+	membership->syncing = false;
 	dispatch(membership, message, now);
 	report_change(membership);
 }
--- a/src/member/member_defs.h
+++ b/src/member/member_defs.h
@@ -89,6 +89,7 @@
  * @news: handles of members whose news still has to be sent
  * @news_count: number of those
  * @news_next: next to send
+ * @syncing: what is taken in now comes from a whole list
  * @hints: addresses that may be peers
  * @hint_count: number of those
  * @usable: members that may get new work
@@ -120,6 +121,7 @@
 	mc_handle_t news[MC_MEMBERS_MAX];
 	uint32_t news_count;
 	uint32_t news_next;
+	bool syncing;
 	mc_member_hint_t hints[MC_MEMBER_HINTS_MAX];
 	uint32_t hint_count;
 	uint32_t usable;
@@ -278,6 +280,10 @@
 /** mc_member_sync_soon() - compare soon, as a whole group may be new */
 void mc_member_sync_soon(mc_membership_t *ms, mc_ms_t now);
 
+/** mc_member_sync_awaited() - whether a message answers a SYNC_REQ */
+bool mc_member_sync_awaited(const mc_membership_t *ms,
+			    const mc_member_message_t *message);
+
 /** mc_member_sync_req() - a SYNC_REQ arrived */
 void mc_member_sync_req(mc_membership_t *ms,
 			const mc_member_message_t *message);
--- a/src/member/member_gossip.c
+++ b/src/member/member_gossip.c
@@ -10,6 +10,8 @@
 enum {
 	/* A piece of news goes out this many times log2 of the members. */
 	SENDS_FACTOR = 3,
+	/* What a whole list brought is known to others: it goes out less. */
+	SYNC_SENDS = 3,
 	/* Most updates on a probe or an answer, so that these stay small. */
 	PROBE_UPDATES_MAX = 6,
 	/* Messages of news per probe interval while there is any. */
@@ -25,6 +27,8 @@
 	uint32_t members = mc_table_count(ms->members);
 	uint32_t bits = 1;
 
+	if (ms->syncing)
+		return SYNC_SENDS;
 	while (members >>= 1)
 		bits++;
 	return SENDS_FACTOR * bits;
@@ -34,10 +38,12 @@
 {
 	mc_member_node_t *node = mc_member_node(ms, handle);
 	bool queued = node->sends_left > 0;
+	uint32_t sends = sends_per_news(ms);
 
 	if (!queued && ms->news_count == MC_MEMBERS_MAX)
 		return;
-	node->sends_left = sends_per_news(ms);
+	if (node->sends_left < sends)
+		node->sends_left = sends;
 	if (!queued)
 		ms->news[ms->news_count++] = handle;
 }
--- a/src/member/member_probe.c
+++ b/src/member/member_probe.c
@@ -120,6 +120,7 @@
 	return NULL;
 }
 
+/* News is not spent on a member that will hardly get it. */
 static void ping(mc_membership_t *ms, const mc_member_node_t *node,
 		 const mc_member_probe_t *probe)
 {
@@ -130,7 +131,10 @@
 		return;
 	mc_member_message_start(ms, &message, MC_MEMBER_PING, sequence,
 				node->member.key);
-	mc_member_message_send(ms, &message, node->member.address);
+	if (probe->kind == MC_MEMBER_PROBE_DEAD)
+		ms->params.send(ms->params.ctx, node->member.address, &message);
+	else
+		mc_member_message_send(ms, &message, node->member.address);
 }
 
 static void probe_next(mc_membership_t *ms, mc_ms_t own)
@@ -214,11 +218,9 @@
 {
 	mc_member_probe_t *probe;
 	mc_handle_t handle;
-	uint32_t cursor = 0;
+	uint32_t cursor = 0, left = mc_table_count(ms->probes);
 
-	if (!mc_table_count(ms->probes))
-		return;
-	while ((probe = mc_table_next(ms->probes, &cursor, &handle)))
+	while (left-- && (probe = mc_table_next(ms->probes, &cursor, &handle)))
 		if (probe->deadline <= now - ms->skipped)
 			answer_is_late(ms, mc_handle_pack(handle), probe, now);
 }
@@ -241,11 +243,9 @@
 	mc_ms_t due = ms->next_probe;
 	const mc_member_probe_t *probe;
 	mc_handle_t handle;
-	uint32_t cursor = 0;
+	uint32_t cursor = 0, left = mc_table_count(ms->probes);
 
-	if (!mc_table_count(ms->probes))
-		return due;
-	while ((probe = mc_table_next(ms->probes, &cursor, &handle)))
+	while (left-- && (probe = mc_table_next(ms->probes, &cursor, &handle)))
 		if (probe->deadline < due)
 			due = probe->deadline;
 	return due;
--- a/src/member/member_sync.c
+++ b/src/member/member_sync.c
@@ -23,10 +23,10 @@
 {
 	const mc_member_node_t *node;
 	mc_handle_t handle;
-	uint32_t cursor = 0;
+	uint32_t cursor = 0, left = mc_table_count(ms->members);
 	uint64_t hash = 0;
 
-	while ((node = mc_table_next(ms->members, &cursor, &handle)))
+	while (left-- && (node = mc_table_next(ms->members, &cursor, &handle)))
 		if (mc_member_usable(&node->member))
 			hash ^= mc_hash_pair(node->member.key,
 					     node->member.incarnation);
@@ -105,17 +105,16 @@
 
 static void send_view(mc_membership_t *ms, const mc_member_message_t *request)
 {
-	uint32_t left = mc_table_count(ms->members);
 	const mc_member_node_t *node;
 	mc_member_message_t answer;
 	mc_handle_t handle;
-	uint32_t cursor = 0;
+	uint32_t cursor = 0, left = mc_table_count(ms->members);
 
 	mc_member_message_start(ms, &answer, MC_MEMBER_SYNC, request->sequence,
 				0);
-	while ((node = mc_table_next(ms->members, &cursor, &handle))) {
+	while (left-- &&
+	       (node = mc_table_next(ms->members, &cursor, &handle))) {
 		mc_member_message_add(&answer, &node->member);
-		left--;
 		if (left && answer.update_count < MC_MEMBER_UPDATES_MAX)
 			continue;
 		answer.subject = left;
@@ -139,14 +138,23 @@
 	mc_member_message_send(ms, &answer, message->from.address);
 }
 
+bool mc_member_sync_awaited(const mc_membership_t *ms,
+			    const mc_member_message_t *message)
+{
+	const mc_member_probe_t *probe =
+		mc_member_probe_find(ms, message->sequence);
+
+	return message->kind == MC_MEMBER_SYNC && probe &&
+	       probe->kind == MC_MEMBER_PROBE_SYNC &&
+	       probe->subject == message->from.key;
+}
+
 void mc_member_sync_answer(mc_membership_t *ms,
 			   const mc_member_message_t *message)
 {
-	mc_member_probe_t *probe = mc_member_probe_find(ms, message->sequence);
 	uint32_t needed = FRESH_ANSWERS;
 
-	if (!probe || probe->kind != MC_MEMBER_PROBE_SYNC ||
-	    probe->subject != message->from.key || message->subject)
+	if (!mc_member_sync_awaited(ms, message) || message->subject)
 		return;
 	mc_member_probe_remove(ms, message->sequence);
 	ms->fresh_answers++;
--- a/src/member/member_view.c
+++ b/src/member/member_view.c
@@ -92,9 +92,10 @@
 	mc_handle_t handle, oldest = MC_HANDLE_NONE;
 	mc_ms_t since = MC_MS_NEVER;
 	mc_member_node_t *node;
-	uint32_t cursor = 0;
+	uint32_t cursor = 0, left = mc_table_count(ms->members);
 
-	while ((node = mc_table_next(ms->members, &cursor, &handle))) {
+	while (left-- &&
+	       (node = mc_table_next(ms->members, &cursor, &handle))) {
 		if (mc_member_usable(&node->member) ||
 		    mc_handle_equal(handle, ms->self) ||
 		    node->dead_since >= since)
@@ -194,12 +195,13 @@
 	mc_ms_t own = now - ms->skipped;
 	mc_member_node_t *node;
 	mc_handle_t handle;
-	uint32_t cursor = 0;
+	uint32_t cursor = 0, left = mc_table_count(ms->members);
 
 	if (!ms->suspects && own < ms->next_forget)
 		return;
 	ms->next_forget = own + ms->params.probe_interval;
-	while ((node = mc_table_next(ms->members, &cursor, &handle))) {
+	while (left-- &&
+	       (node = mc_table_next(ms->members, &cursor, &handle))) {
 		if (node->member.state == MC_MEMBER_SUSPECT &&
 		    node->suspect_until <= own)
 			mc_member_set_state(ms, handle, MC_MEMBER_DEAD, now);
@@ -215,11 +217,11 @@
 	const mc_member_node_t *node;
 	mc_ms_t due = MC_MS_NEVER;
 	mc_handle_t handle;
-	uint32_t cursor = 0;
+	uint32_t cursor = 0, left = mc_table_count(ms->members);
 
 	if (!ms->suspects)
 		return due;
-	while ((node = mc_table_next(ms->members, &cursor, &handle)))
+	while (left-- && (node = mc_table_next(ms->members, &cursor, &handle)))
 		if (node->member.state == MC_MEMBER_SUSPECT &&
 		    node->suspect_until < due)
 			due = node->suspect_until;
--- a/src/move/move_defs.h
+++ b/src/move/move_defs.h
@@ -14,6 +14,8 @@
 	MC_MOVE_ORIGINS_MAX = 1024,
 	/* Marks of a window. */
 	MC_MOVE_MARKS = 10,
+	/* Marks of a block. */
+	MC_MOVE_BLOCK_MARKS = 2,
 	/* Places of the versions in counts. */
 	MC_MOVE_OLD = 0,
 	MC_MOVE_NEW = 1,
@@ -44,7 +46,7 @@
  * @marks: the one before the last, and the last; per version
  */
 typedef struct mc_move_block_t {
-	mc_move_counts_t marks[2][MC_MOVE_VERSIONS];
+	mc_move_counts_t marks[MC_MOVE_BLOCK_MARKS][MC_MOVE_VERSIONS];
 } mc_move_block_t;
 
 /**
@@ -147,6 +149,14 @@
 /** mc_move_evidence_mark() - set marks where time or samples have passed */
 void mc_move_evidence_mark(mc_mover_move_t *move, mc_ms_t wall);
 
+/**
+ * mc_move_evidence_restart() - let all spans begin now
+ *
+ * The versions' parts of the traffic have changed: over a span with both parts
+ * a fault that both share would count more against one of them.
+ */
+void mc_move_evidence_restart(mc_mover_move_t *move, mc_ms_t wall);
+
 /** mc_move_samples() - outcomes in @counts */
 uint64_t mc_move_samples(const mc_move_counts_t *counts);
 
--- a/src/move/move_evidence.c
+++ b/src/move/move_evidence.c
@@ -151,6 +151,29 @@
 				     &digest->counts[version][route]);
 }
 
+static void restart_window(mc_mover_move_t *move, mc_move_window_t *window,
+			   mc_ms_t wall)
+{
+	uint32_t i;
+
+	window->last = wall;
+	for (i = 0; i < MC_MOVE_MARKS; i++)
+		window->marks[i] = move->total;
+}
+
+void mc_move_evidence_restart(mc_mover_move_t *move, mc_ms_t wall)
+{
+	uint32_t route, version, i;
+
+	restart_window(move, &move->minute, wall);
+	restart_window(move, &move->long_window, wall);
+	for (route = 0; route < MC_MOVE_ROUTES; route++)
+		for (version = 0; version < MC_MOVE_VERSIONS; version++)
+			for (i = 0; i < MC_MOVE_BLOCK_MARKS; i++)
+				move->blocks[route].marks[i][version] =
+					move->total.counts[version][route];
+}
+
 static void mark_window(mc_mover_move_t *move, mc_move_window_t *window,
 			mc_ms_t wall)
 {
--- a/src/move/move_judge.c
+++ b/src/move/move_judge.c
@@ -1,9 +1,10 @@
 /*
  * Judgement of the new version, route by route, over several spans: its last
- * few samples, the last minute and the last ten minutes. Both versions are
- * compared over the same span, so that a fault that both share counts against
- * neither. Where the old version has too few samples in a span, as after all
- * traffic has moved, all its stored counts are the baseline.
+ * few samples, the last minute and the last ten minutes, all of them since the
+ * last change of the share. Both versions are compared over the same span, so
+ * that a fault that both share counts against neither. Where the old version
+ * has too few samples in a span, as after all traffic has moved, all its stored
+ * counts are the baseline.
  *
  * The new version is worse on a route when the lower bound of its failure rate
  * is above the upper bound of the old version's by a margin, or when, for some
@@ -16,7 +17,9 @@
 
 enum {
 	/* Samples of the old version in a span that make it the baseline. */
-	BASELINE_SAMPLES = 100,
+	BASELINE_SAMPLES = 20,
+	/* Answers of the old version that tell its latency. */
+	LATENCY_SAMPLES = 100,
 	/* Good samples that the old version is credited with. */
 	PRIOR_SAMPLES = 100,
 	/* Samples of the new version on a route that are enough to judge. */
@@ -128,7 +131,7 @@
 {
 	uint32_t bucket = tail_bucket(&span->old) + SLOW_BUCKETS;
 
-	if (span->old.answered < BASELINE_SAMPLES || !span->new.answered)
+	if (span->old.answered < LATENCY_SAMPLES || !span->new.answered)
 		return false;
 	return mc_move_rate_lower(answers_above(&span->new, bucket),
 				  span->new.answered) >
--- a/src/move/move_schedule.c
+++ b/src/move/move_schedule.c
@@ -136,6 +136,7 @@
 		return;
 	if (share > move->share) {
 		move->share = share;
+		mc_move_evidence_restart(move, wall);
 		snprintf(move->reason, sizeof(move->reason),
 			 "share raised to %.0f%%, %s", share * PERCENT,
 			 move->judged ? "judged good" : "not judged yet");
