Read settings and configurations from TOML

Cause: processes and operators need settings and configurations that are checked whole, each fault with its line, what was expected and what to do.

Ruled out: a C library for TOML, as none is packaged, so toml++ stands behind one file and no exception leaves it; hash tables for the lookups, as rows that are sorted once make every list of rows a part of one sequence, print in canonical order and show duplicates as neighbours; going on to the next step after faults, as one mistake would be reported again by its consequences.

Change: toml gives nodes with lines in the order of the text and bounds the nesting of values and the dots of keys. settings and config read by tables of keys with bounds. Names are letters, digits and ". _ : + -", and addresses have one spelling, so that canonical text needs no escapes and equal addresses are equal strings.

--- a/src/settings/include/mc/settings.h
+++ b/src/settings/include/mc/settings.h
@@ -93,12 +93,20 @@
 			   mc_settings_t *settings, char *faults,
 			   size_t faults_size);
 
+/**
+ * mc_name_is_valid() - whether @name may name a row or a data centre
+ * @name: 1 to 63 characters of letters, digits and ". _ : + -"
+ */
+bool mc_name_is_valid(const char *name);
+
 /**
  * mc_address_split() - check and split "IP:port"
- * @address: IPv4 number or IPv6 number in brackets, a colon, a port
+ * @address: IPv4 number or IPv6 number in brackets, a colon, a port; in the
+ *	one spelling that the system prints, so that equal addresses are equal
+ *	strings
  * @host: receives the IP number
  * @host_size: bytes of @host
- * @port: receives the port
+ * @port: receives the port, 0 to 65535
  *
  * Return: MC_OK or MC_ERR_BAD_SETTINGS.
  */
--- /dev/null
+++ b/src/settings/keys.c
@@ -0,0 +1,115 @@
+/*
+ * The table of keys with their bounds, and the defaults.
+ */
+#include "keys.h"
+
+#include <string.h>
+
+enum {
+	GRACE_MS_MAX = 600000,
+	EXTRA_PERCENT_MAX = 100,
+	CONCURRENCY_MAX = 1000000,
+	PORT_FIXED = 1,
+	PORT_ANY = 0,
+};
+
+static const char *const replicas[] = { "two_choices", "round_robin", "hash",
+					NULL };
+static const char *const limits[] = { "adaptive", "fixed", "none", NULL };
+static const char *const ramps[] = { "on", "off", NULL };
+static const char *const hedges[] = { "p95", "none", NULL };
+static const char *const retries[] = { "budget", "none", "unbounded", NULL };
+static const char *const admissions[] = { "class", "none", NULL };
+
+#define FIELD(field) .offset = offsetof(mc_settings_t, field)
+#define NAME .kind = &settings_kind_name
+#define ADDRESS(port) .kind = &settings_kind_address, .min = (port)
+#define PEERS .kind = &settings_kind_peers, .min = PORT_FIXED
+#define U32(low, high) .kind = &settings_kind_u32, .min = (low), .max = (high)
+#define U64(low, high) .kind = &settings_kind_u64, .min = (low), .max = (high)
+#define LEVEL .kind = &settings_kind_level
+#define CHOICE(list) .kind = &settings_kind_choice, .choices = (list)
+
+static const settings_key_t keys[] = {
+	{ NULL, "data_center", NAME, FIELD(data_center), NEED_ALWAYS },
+	{ NULL, "platform", ADDRESS(PORT_FIXED), FIELD(platform),
+	  .need = NEED_ALWAYS },
+	{ NULL, "peers", PEERS, FIELD(peers) },
+	{ NULL, "shards", U32(1, MC_THREADS_MAX), FIELD(shards) },
+	{ NULL, "log_level", LEVEL, FIELD(log_level) },
+	{ NULL, "seed", U64(0, INT64_MAX), FIELD(seed) },
+	{ NULL, "grace_ms", U64(0, GRACE_MS_MAX), FIELD(grace) },
+	{ "front", "callers", ADDRESS(PORT_ANY), FIELD(callers),
+	  .need = NEED_FRONT },
+	{ "front", "peer", ADDRESS(PORT_ANY), FIELD(front_peer),
+	  .need = NEED_FRONT },
+	{ "gather", "peer", ADDRESS(PORT_ANY), FIELD(gather_peer),
+	  .need = NEED_GATHER },
+	{ "policy", "owners", U32(1, MC_OWNERS_MAX), FIELD(policy.owners) },
+	{ "policy", "replica", CHOICE(replicas), FIELD(policy.replica) },
+	{ "policy", "limit", CHOICE(limits), FIELD(policy.limit) },
+	{ "policy", "ramp", CHOICE(ramps), FIELD(policy.ramp) },
+	{ "policy", "hedge", CHOICE(hedges), FIELD(policy.hedge) },
+	{ "policy", "retry", CHOICE(retries), FIELD(policy.retry) },
+	{ "policy", "admission", CHOICE(admissions), FIELD(policy.admission) },
+	{ "policy", "extra_percent", U32(0, EXTRA_PERCENT_MAX),
+	  FIELD(policy.extra_percent) },
+	{ "policy", "concurrency", U32(1, CONCURRENCY_MAX),
+	  FIELD(policy.concurrency) },
+};
+
+size_t settings_key_count(void)
+{
+	return MC_ARRAY_LEN(keys);
+}
+
+const settings_key_t *settings_key_at(size_t index)
+{
+	return &keys[index];
+}
+
+static bool same_table(const char *a, const char *b)
+{
+	return a == b || (a && b && !strcmp(a, b));
+}
+
+const settings_key_t *settings_key_find(const char *table, const char *name)
+{
+	size_t i;
+
+	for (i = 0; i < MC_ARRAY_LEN(keys); i++)
+		if (same_table(keys[i].table, table) &&
+		    !strcmp(keys[i].name, name))
+			return &keys[i];
+	return NULL;
+}
+
+bool settings_is_table(const char *name)
+{
+	size_t i;
+
+	for (i = 0; i < MC_ARRAY_LEN(keys); i++)
+		if (keys[i].table && !strcmp(keys[i].table, name))
+			return true;
+	return false;
+}
+
+void settings_set_defaults(mc_settings_t *settings)
+{
+	*settings = (mc_settings_t){
+		.shards = 2,
+		.log_level = MC_LOG_INFO,
+		.grace = 10000,
+		.policy = {
+			.owners = 8,
+			.replica = "two_choices",
+			.limit = "adaptive",
+			.ramp = "on",
+			.hedge = "p95",
+			.retry = "budget",
+			.admission = "class",
+			.extra_percent = 5,
+			.concurrency = 1024,
+		},
+	};
+}
--- /dev/null
+++ b/src/settings/kinds.c
@@ -0,0 +1,182 @@
+/*
+ * The kinds of values that settings have: how each is read and described.
+ */
+#include "keys.h"
+
+#include <stdio.h>
+#include <string.h>
+
+enum {
+	CHOICE_SIZE = sizeof(((mc_policy_t *)0)->replica),
+	NAME_SIZE = sizeof(((mc_settings_t *)0)->data_center),
+};
+
+static bool read_name(const settings_key_t *key, const mc_toml_node_t *node,
+		      void *out)
+{
+	(void)key;
+	if (node->kind != MC_TOML_STRING || !mc_name_is_valid(node->string))
+		return false;
+	snprintf(out, NAME_SIZE, "%s", node->string);
+	return true;
+}
+
+static void describe_name(const settings_key_t *key, char *text, size_t size)
+{
+	(void)key;
+	snprintf(text, size, "a name of 1 to %d letters, digits, or . _ : + -",
+		 NAME_SIZE - 1);
+}
+
+static bool read_address(const settings_key_t *key, const mc_toml_node_t *node,
+			 void *out)
+{
+	char host[MC_ADDRESS_SIZE];
+	uint16_t port;
+
+	if (node->kind != MC_TOML_STRING ||
+	    strlen(node->string) >= MC_ADDRESS_SIZE ||
+	    mc_address_split(node->string, host, sizeof(host), &port) ||
+	    port < key->min)
+		return false;
+	snprintf(out, MC_ADDRESS_SIZE, "%s", node->string);
+	return true;
+}
+
+static void describe_address(const settings_key_t *key, char *text, size_t size)
+{
+	snprintf(text, size, "IP:port with a port of %d to 65535",
+		 (int)key->min);
+}
+
+static bool read_peers(const settings_key_t *key, const mc_toml_node_t *node,
+		       void *out)
+{
+	char(*peers)[MC_ADDRESS_SIZE] = out;
+	const mc_toml_node_t *child;
+	uint32_t count = 0;
+
+	if (node->kind != MC_TOML_ARRAY)
+		return false;
+	for (child = node->first; child; child = child->next) {
+		if (count == MC_SEEDS_MAX ||
+		    !read_address(key, child, peers[count]))
+			return false;
+		count++;
+	}
+	return true;
+}
+
+static void describe_peers(const settings_key_t *key, char *text, size_t size)
+{
+	(void)key;
+	snprintf(text, size, "an array of at most %d addresses IP:port",
+		 MC_SEEDS_MAX);
+}
+
+static bool in_bounds(const settings_key_t *key, const mc_toml_node_t *node)
+{
+	return node->kind == MC_TOML_INTEGER && node->integer >= key->min &&
+	       node->integer <= key->max;
+}
+
+static bool read_u32(const settings_key_t *key, const mc_toml_node_t *node,
+		     void *out)
+{
+	if (!in_bounds(key, node))
+		return false;
+	*(uint32_t *)out = (uint32_t)node->integer;
+	return true;
+}
+
+/* Also for times, which are as wide and never negative. */
+static bool read_u64(const settings_key_t *key, const mc_toml_node_t *node,
+		     void *out)
+{
+	if (!in_bounds(key, node))
+		return false;
+	memcpy(out, &node->integer, sizeof(node->integer));
+	return true;
+}
+
+static void describe_number(const settings_key_t *key, char *text, size_t size)
+{
+	snprintf(text, size, "an integer of %lld to %lld", (long long)key->min,
+		 (long long)key->max);
+}
+
+static bool read_level(const settings_key_t *key, const mc_toml_node_t *node,
+		       void *out)
+{
+	(void)key;
+	return node->kind == MC_TOML_STRING &&
+	       mc_log_level_parse(node->string, out) == MC_OK;
+}
+
+static void describe_level(const settings_key_t *key, char *text, size_t size)
+{
+	(void)key;
+	snprintf(text, size,
+		 "\"error\", \"warning\", \"notice\", \"info\" or \"debug\"");
+}
+
+static bool read_choice(const settings_key_t *key, const mc_toml_node_t *node,
+			void *out)
+{
+	const char *const *choice;
+
+	if (node->kind != MC_TOML_STRING)
+		return false;
+	for (choice = key->choices; *choice; choice++) {
+		if (strcmp(*choice, node->string))
+			continue;
+		snprintf(out, CHOICE_SIZE, "%s", *choice);
+		return true;
+	}
+	return false;
+}
+
+static void describe_choice(const settings_key_t *key, char *text, size_t size)
+{
+	const char *const *choice;
+	size_t used = 0;
+
+	for (choice = key->choices; *choice && used < size; choice++)
+		used += (size_t)snprintf(text + used, size - used, "%s\"%s\"",
+					 used ? " or " : "", *choice);
+}
+
+const settings_kind_t settings_kind_name = {
+	.read = read_name,
+	.describe = describe_name,
+};
+
+const settings_kind_t settings_kind_address = {
+	.read = read_address,
+	.describe = describe_address,
+};
+
+const settings_kind_t settings_kind_peers = {
+	.read = read_peers,
+	.describe = describe_peers,
+};
+
+const settings_kind_t settings_kind_u32 = {
+	.read = read_u32,
+	.describe = describe_number,
+};
+
+const settings_kind_t settings_kind_u64 = {
+	.read = read_u64,
+	.describe = describe_number,
+};
+
+const settings_kind_t settings_kind_level = {
+	.read = read_level,
+	.describe = describe_level,
+};
+
+const settings_kind_t settings_kind_choice = {
+	.read = read_choice,
+	.describe = describe_choice,
+};
--- a/src/settings/settings.c
+++ b/src/settings/settings.c
@@ -1,4 +1,209 @@
 /*
- * Stub.
+ * Reads settings: walks over the text's keys, looks each up in the table of
+ * keys, and reports every fault on a line of its own.
  */
-#include "mc/settings.h"
+#include "keys.h"
+
+#include <stdarg.h>
+#include <stdio.h>
+#include <string.h>
+
+enum {
+	EXPECTED_SIZE = 160,
+	GOT_SIZE = 96,
+	PATH_SIZE = 64,
+	STRING_SHOWN = 48,
+	/* More keys than the table has. */
+	KEYS_MAX = 32,
+};
+
+/* The faults so far and what was seen of the text. */
+typedef struct reader_t {
+	mc_settings_t *settings;
+	char *faults;
+	size_t size;
+	size_t used;
+	uint32_t count;
+	bool seen[KEYS_MAX];
+} reader_t;
+
+static void add_fault(reader_t *reader, const char *format, ...)
+	__attribute__((format(printf, 2, 3)));
+
+/* Keeps a fault on one line, whatever the text holds. */
+static void mask_control(char *text)
+{
+	for (; *text; text++)
+		if ((unsigned char)*text < ' ' && (*text != '\n' || text[1]))
+			*text = '?';
+}
+
+static void add_fault(reader_t *reader, const char *format, ...)
+{
+	char *start = reader->faults + reader->used;
+	size_t room = reader->size - reader->used;
+	va_list args;
+	int length;
+
+	reader->count++;
+	va_start(args, format);
+	length = vsnprintf(start, room, format, args);
+	va_end(args);
+	if (!room)
+		return;
+	if (length < 0 || (size_t)length >= room) {
+		*start = '\0';
+		return;
+	}
+	mask_control(start);
+	reader->used += (size_t)length;
+}
+
+/* What stands in the text, in short. */
+static void describe_node(const mc_toml_node_t *node, char *text, size_t size)
+{
+	if (node->kind == MC_TOML_STRING)
+		snprintf(text, size, "\"%.*s\"", STRING_SHOWN, node->string);
+	else if (node->kind == MC_TOML_INTEGER)
+		snprintf(text, size, "%lld", (long long)node->integer);
+	else
+		snprintf(text, size, "%s", mc_toml_kind_name(node->kind));
+}
+
+static void key_path(const char *table, const char *name, char *path)
+{
+	snprintf(path, PATH_SIZE, "%s%s%s", table ? table : "",
+		 table ? "." : "", name);
+}
+
+static void read_value(reader_t *reader, const settings_key_t *key,
+		       const mc_toml_node_t *node)
+{
+	char *field = (char *)reader->settings + key->offset;
+	char expected[EXPECTED_SIZE], got[GOT_SIZE], path[PATH_SIZE];
+
+	reader->seen[key - settings_key_at(0)] = true;
+	if (key->kind->read(key, node, field))
+		return;
+	key->kind->describe(key, expected, sizeof(expected));
+	describe_node(node, got, sizeof(got));
+	key_path(key->table, key->name, path);
+	add_fault(reader, "line %u: %s: expected %s, got %s\n", node->line,
+		  path, expected, got);
+}
+
+static void read_table(reader_t *reader, const char *table,
+		       const mc_toml_node_t *node);
+
+static void read_subtable(reader_t *reader, const mc_toml_node_t *node)
+{
+	if (node->kind == MC_TOML_TABLE)
+		read_table(reader, node->key, node);
+	else
+		add_fault(reader, "line %u: %s: expected a table, got %s\n",
+			  node->line, node->key, mc_toml_kind_name(node->kind));
+}
+
+static void read_table(reader_t *reader, const char *table,
+		       const mc_toml_node_t *node)
+{
+	const mc_toml_node_t *child;
+	char path[PATH_SIZE];
+
+	for (child = node->first; child; child = child->next) {
+		const settings_key_t *key =
+			settings_key_find(table, child->key);
+
+		if (key) {
+			read_value(reader, key, child);
+			continue;
+		}
+		if (!table && settings_is_table(child->key)) {
+			read_subtable(reader, child);
+			continue;
+		}
+		key_path(table, child->key, path);
+		add_fault(reader, "line %u: %s: expected a known key, got %s\n",
+			  child->line, path, mc_toml_kind_name(child->kind));
+	}
+}
+
+static bool is_needed(const settings_key_t *key, mc_role_t role)
+{
+	switch (key->need) {
+	case NEED_ALWAYS:
+		return true;
+	case NEED_FRONT:
+		return role == MC_ROLE_FRONT;
+	case NEED_GATHER:
+		return role == MC_ROLE_GATHER;
+	case NEED_NEVER:
+		break;
+	}
+	return false;
+}
+
+/* Line of the table of @key, or of the text's start. */
+static uint32_t table_line(const mc_toml_node_t *root, const char *table)
+{
+	const mc_toml_node_t *child;
+
+	for (child = root->first; child; child = child->next)
+		if (table && !strcmp(child->key, table))
+			return child->line;
+	return 1;
+}
+
+static void check_absent(reader_t *reader, const mc_toml_node_t *root,
+			 mc_role_t role)
+{
+	char expected[EXPECTED_SIZE], path[PATH_SIZE];
+	size_t i;
+
+	for (i = 0; i < settings_key_count(); i++) {
+		const settings_key_t *key = settings_key_at(i);
+
+		if (reader->seen[i] || !is_needed(key, role))
+			continue;
+		key->kind->describe(key, expected, sizeof(expected));
+		key_path(key->table, key->name, path);
+		add_fault(reader, "line %u: %s: expected %s, got nothing\n",
+			  table_line(root, key->table), path, expected);
+	}
+}
+
+/* Peers are read to the first empty one, as addresses are never empty. */
+static void count_peers(mc_settings_t *settings)
+{
+	while (settings->peer_count < MC_SEEDS_MAX &&
+	       settings->peers[settings->peer_count][0])
+		settings->peer_count++;
+}
+
+mc_err_t mc_settings_parse(const char *text, size_t size, mc_role_t role,
+			   mc_settings_t *settings, char *faults,
+			   size_t faults_size)
+{
+	reader_t reader = { .settings = settings,
+			    .faults = faults,
+			    .size = faults_size };
+	mc_toml_node_t *root;
+	uint32_t line;
+
+	if (faults_size)
+		faults[0] = '\0';
+	settings_set_defaults(settings);
+	if (mc_toml_parse(text, size, &root, &line)) {
+		add_fault(&reader, "line %u: file: expected TOML, got %s\n",
+			  line, mc_last_message());
+	} else {
+		read_table(&reader, NULL, root);
+		check_absent(&reader, root, role);
+		mc_toml_free(root);
+		count_peers(settings);
+	}
+	if (!reader.count)
+		return MC_OK;
+	return mc_fail(MC_ERR_BAD_SETTINGS, "%u faults in the settings",
+		       reader.count);
+}
--- a/src/toml/include/mc/toml.h
+++ b/src/toml/include/mc/toml.h
@@ -7,6 +7,9 @@
 
 #include "mc/base.h"
 
+/** MC_TOML_TIME_LOCAL - value of a time that has no offset */
+#define MC_TOML_TIME_LOCAL INT64_MIN
+
 /** enum mc_toml_kind_t - kind of a node */
 typedef enum mc_toml_kind_t {
 	MC_TOML_TABLE,
@@ -25,7 +28,7 @@
  * @key: its key within a table; NULL within an array
  * @string: text of a string
  * @integer: value of an integer or boolean; of a time with an offset, ms since
- *	the Unix epoch
+ *	the Unix epoch, without one MC_TOML_TIME_LOCAL
  * @real: value of a float
  * @next: next node of the same table or array, in the order of the text
  * @first: first child of a table or array
