Add the net library: shards, timers, links and HTTP on one loop

Cause: front and gather need threads with state in shards, each under its own lock, and no thread that waits for a request. Change: a shard is one thread with an APR pollset; the inbox, timers, framed links, libcurl's multi socket interface and libmicrohttpd's epoll descriptor hang on it. Handlers run with the shard's lock held; other threads post. A request that must not be sent twice opens a connection of its own, as libcurl repeats a request when a kept connection breaks before the first byte of an answer.

Ruled out: libmicrohttpd's own thread pool, whose threads would share tables with the shards.

--- a/Makefile
+++ b/Makefile
@@ -18,7 +18,7 @@
 	@sh tools/install-packages
 
 build:
-	@$(CMAKE) -S . -B $(BUILD)
+	@$(CMAKE) -S . -B $(BUILD) -DMC_FUZZ=OFF
 	@$(call COMPILE,$(BUILD))
 
 build-fuzz:
--- /dev/null
+++ b/src/net/http_client.c
@@ -0,0 +1,391 @@
+/*
+ * HTTP client: libcurl's multi socket interface, with its sockets in the
+ * shard's pollset and its timeout among the shard's timers. Connections are
+ * kept and used again, but for requests that must never be sent twice.
+ */
+#include "net_private.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+enum {
+	CONNECTIONS_KEPT = 1024,
+	IDLE_MAX = 256,
+	ETAG_SIZE = 32,
+	BODY_MIN = 1024,
+};
+
+typedef struct {
+	mc_shard_t *shard;
+	mc_handle_t handle;
+	CURL *easy;
+	struct curl_slist *headers;
+	char *body;
+	mc_http_done_fn_t done;
+	void *ctx;
+	char etag[ETAG_SIZE];
+	char *answer;
+	size_t answer_size;
+	size_t answer_capacity;
+	bool too_large;
+} request_t;
+
+/* A socket of libcurl's; freed when libcurl gives it up. */
+typedef struct {
+	mc_shard_t *shard;
+	curl_socket_t fd;
+	mc_handle_t watch;
+} socket_t;
+
+static void take_finished(mc_shard_t *shard);
+
+static void act(mc_shard_t *shard, curl_socket_t fd, int mask)
+{
+	int running;
+
+	curl_multi_socket_action(shard->client.multi, fd, mask, &running);
+	take_finished(shard);
+}
+
+static void socket_ready(mc_shard_t *shard, void *arg, int events)
+{
+	socket_t *socket = arg;
+	int mask = 0;
+
+	if (events & MC_WATCH_READ)
+		mask |= CURL_CSELECT_IN;
+	if (events & MC_WATCH_WRITE)
+		mask |= CURL_CSELECT_OUT;
+	if (events & MC_WATCH_ERROR)
+		mask |= CURL_CSELECT_ERR;
+	act(shard, socket->fd, mask);
+}
+
+static int watch_mask(int what)
+{
+	int events = 0;
+
+	if (what & CURL_POLL_IN)
+		events |= MC_WATCH_READ;
+	if (what & CURL_POLL_OUT)
+		events |= MC_WATCH_WRITE;
+	return events;
+}
+
+static void add_socket(mc_shard_t *shard, curl_socket_t fd, int events)
+{
+	socket_t *socket = calloc(1, sizeof(*socket));
+
+	if (!socket)
+		return;
+	socket->shard = shard;
+	socket->fd = fd;
+	if (mc_watch_add(shard, fd, events, socket_ready, socket,
+			 &socket->watch)) {
+		free(socket);
+		return;
+	}
+	curl_multi_assign(shard->client.multi, fd, socket);
+}
+
+static int on_socket(CURL *easy, curl_socket_t fd, int what, void *arg,
+		     void *assigned)
+{
+	mc_shard_t *shard = arg;
+	socket_t *socket = assigned;
+
+	(void)easy;
+	if (what == CURL_POLL_REMOVE) {
+		if (socket)
+			mc_watch_remove(shard, socket->watch);
+		free(socket);
+	} else if (socket) {
+		mc_watch_change(shard, socket->watch, watch_mask(what));
+	} else {
+		add_socket(shard, fd, watch_mask(what));
+	}
+	return 0;
+}
+
+static void time_out(mc_shard_t *shard, void *arg)
+{
+	(void)arg;
+	act(shard, CURL_SOCKET_TIMEOUT, 0);
+}
+
+static void kick(mc_shard_t *shard, void *arg)
+{
+	(void)arg;
+	shard->client.kick_pending = false;
+	act(shard, CURL_SOCKET_TIMEOUT, 0);
+}
+
+static int on_timeout(CURLM *multi, long timeout, void *arg)
+{
+	mc_shard_t *shard = arg;
+	http_client_t *client = &shard->client;
+
+	(void)multi;
+	mc_timer_cancel(shard, client->timer);
+	client->timer = MC_HANDLE_NONE;
+	if (timeout > 0) {
+		mc_timer_set(shard, shard->now + timeout, time_out, NULL,
+			     &client->timer);
+	} else if (!timeout && !client->kick_pending) {
+		client->kick_pending = true;
+		mc_shard_defer(shard, kick, NULL);
+	}
+	return 0;
+}
+
+mc_err_t http_client_init(mc_shard_t *shard)
+{
+	http_client_t *client = &shard->client;
+
+	client->requests =
+		mc_table_create(sizeof(request_t), MC_HTTP_EXCHANGES_MAX);
+	client->multi = curl_multi_init();
+	if (!client->requests || !client->multi)
+		return mc_fail(MC_ERR_NO_MEMORY, "no memory for HTTP");
+	curl_multi_setopt(client->multi, CURLMOPT_SOCKETFUNCTION, on_socket);
+	curl_multi_setopt(client->multi, CURLMOPT_SOCKETDATA, shard);
+	curl_multi_setopt(client->multi, CURLMOPT_TIMERFUNCTION, on_timeout);
+	curl_multi_setopt(client->multi, CURLMOPT_TIMERDATA, shard);
+	curl_multi_setopt(client->multi, CURLMOPT_MAXCONNECTS,
+			  (long)CONNECTIONS_KEPT);
+	return MC_OK;
+}
+
+static void release(mc_shard_t *shard, request_t *request)
+{
+	http_client_t *client = &shard->client;
+
+	if (request->easy) {
+		curl_multi_remove_handle(client->multi, request->easy);
+		if (client->idle_count < IDLE_MAX)
+			client->idle[client->idle_count++] = request->easy;
+		else
+			curl_easy_cleanup(request->easy);
+	}
+	curl_slist_free_all(request->headers);
+	free(request->body);
+	free(request->answer);
+	mc_table_remove(client->requests, request->handle);
+}
+
+void http_client_destroy(mc_shard_t *shard)
+{
+	http_client_t *client = &shard->client;
+	uint32_t cursor = 0;
+	mc_handle_t handle;
+	request_t *request;
+
+	if (!client->requests)
+		return;
+	while ((request = mc_table_next(client->requests, &cursor, &handle)))
+		release(shard, request);
+	while (client->idle_count)
+		curl_easy_cleanup(client->idle[--client->idle_count]);
+	if (client->multi)
+		curl_multi_cleanup(client->multi);
+	mc_table_destroy(client->requests);
+}
+
+static size_t on_body(char *data, size_t unit, size_t count, void *arg)
+{
+	request_t *request = arg;
+	size_t size = unit * count;
+	size_t wanted = request->answer_size + size + 1;
+	size_t capacity = request->answer_capacity;
+	char *answer;
+
+	if (wanted > MC_HTTP_BODY_MAX) {
+		request->too_large = true;
+		return 0;
+	}
+	if (wanted > capacity) {
+		capacity = capacity ? capacity : BODY_MIN;
+		while (capacity < wanted)
+			capacity *= 2;
+		answer = realloc(request->answer, capacity);
+		if (!answer)
+			return 0;
+		request->answer = answer;
+		request->answer_capacity = capacity;
+	}
+	memcpy(request->answer + request->answer_size, data, size);
+	request->answer_size += size;
+	request->answer[request->answer_size] = '\0';
+	return size;
+}
+
+static size_t on_header(char *data, size_t unit, size_t count, void *arg)
+{
+	static const char name[] = "ETag:";
+	request_t *request = arg;
+	size_t size = unit * count;
+	size_t used = 0;
+	size_t i;
+
+	if (size < sizeof(name) || strncasecmp(data, name, sizeof(name) - 1))
+		return size;
+	for (i = sizeof(name) - 1; i < size && used < ETAG_SIZE - 1; i++)
+		if (!strchr(" \t\r\n\"", data[i]))
+			request->etag[used++] = data[i];
+	request->etag[used] = '\0';
+	return size;
+}
+
+static mc_err_t error_of(const request_t *request, CURLcode code)
+{
+	if (code == CURLE_OK)
+		return MC_OK;
+	if (request->too_large)
+		return MC_ERR_TOO_LARGE;
+	if (code == CURLE_OPERATION_TIMEDOUT)
+		return MC_ERR_TIMED_OUT;
+	return MC_ERR_IO;
+}
+
+static void finish(mc_shard_t *shard, request_t *request, CURLcode code)
+{
+	mc_http_response_t response = {
+		.err = error_of(request, code),
+		.etag = request->etag,
+		.body = request->answer ? request->answer : "",
+		.body_size = request->answer_size,
+	};
+	mc_http_done_fn_t done = request->done;
+	void *ctx = request->ctx;
+	mc_handle_t handle = request->handle;
+	long size = 0, status = 0;
+
+	curl_easy_getinfo(request->easy, CURLINFO_REQUEST_SIZE, &size);
+	curl_easy_getinfo(request->easy, CURLINFO_RESPONSE_CODE, &status);
+	response.sent =
+		size > 0 || code == CURLE_SEND_ERROR || code == CURLE_OK;
+	response.status = response.err ? 0 : (int)status;
+	done(ctx, &response);
+	request = mc_table_get(shard->client.requests, handle);
+	if (request)
+		release(shard, request);
+}
+
+static void take_finished(mc_shard_t *shard)
+{
+	CURLMsg *message;
+	int left;
+
+	while ((message = curl_multi_info_read(shard->client.multi, &left))) {
+		CURLcode code = message->data.result;
+		char *request = NULL;
+
+		if (message->msg != CURLMSG_DONE)
+			continue;
+		curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE,
+				  &request);
+		finish(shard, (request_t *)(void *)request, code);
+	}
+}
+
+static mc_err_t copy_request(request_t *made, const mc_http_request_t *request)
+{
+	uint32_t i;
+	struct curl_slist *list;
+
+	for (i = 0; i < request->header_count; i++) {
+		list = curl_slist_append(made->headers, request->headers[i]);
+		if (!list)
+			return MC_ERR_NO_MEMORY;
+		made->headers = list;
+	}
+	/* libcurl would wait for "100 Continue" before a large body. */
+	list = curl_slist_append(made->headers, "Expect:");
+	if (!list)
+		return MC_ERR_NO_MEMORY;
+	made->headers = list;
+	if (!request->body)
+		return MC_OK;
+	made->body = malloc(request->body_size + 1);
+	if (!made->body)
+		return MC_ERR_NO_MEMORY;
+	memcpy(made->body, request->body, request->body_size);
+	return MC_OK;
+}
+
+static CURL *take_easy(http_client_t *client)
+{
+	CURL *easy;
+
+	if (!client->idle_count)
+		return curl_easy_init();
+	easy = client->idle[--client->idle_count];
+	curl_easy_reset(easy);
+	return easy;
+}
+
+static void set_options(request_t *made, const mc_http_request_t *request)
+{
+	CURL *easy = made->easy;
+
+	curl_easy_setopt(easy, CURLOPT_URL, request->url);
+	curl_easy_setopt(easy, CURLOPT_PRIVATE, (char *)made);
+	curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(easy, CURLOPT_PROXY, "");
+	curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, (long)request->timeout);
+	curl_easy_setopt(easy, CURLOPT_HTTPHEADER, made->headers);
+	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, on_body);
+	curl_easy_setopt(easy, CURLOPT_WRITEDATA, made);
+	curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, on_header);
+	curl_easy_setopt(easy, CURLOPT_HEADERDATA, made);
+	if (made->body) {
+		curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE,
+				 (long)request->body_size);
+		curl_easy_setopt(easy, CURLOPT_POSTFIELDS, made->body);
+	}
+	if (strcmp(request->method, "GET"))
+		curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, request->method);
+	if (request->once) {
+		curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
+		curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
+	}
+}
+
+mc_err_t mc_http_send(mc_shard_t *shard, const mc_http_request_t *request,
+		      mc_http_done_fn_t done, void *ctx, mc_handle_t *handle)
+{
+	http_client_t *client = &shard->client;
+	mc_handle_t own;
+	request_t *made;
+	void *slot;
+	mc_err_t err = mc_table_add(client->requests, &own, &slot);
+
+	if (err)
+		return err;
+	made = slot;
+	made->shard = shard;
+	made->handle = own;
+	made->done = done;
+	made->ctx = ctx;
+	made->easy = take_easy(client);
+	if (!made->easy || copy_request(made, request)) {
+		release(shard, made);
+		return mc_fail(MC_ERR_NO_MEMORY, "no memory for a request");
+	}
+	set_options(made, request);
+	if (curl_multi_add_handle(client->multi, made->easy)) {
+		release(shard, made);
+		return mc_fail(MC_ERR_NO_MEMORY, "libcurl refuses a request");
+	}
+	if (handle)
+		*handle = own;
+	return MC_OK;
+}
+
+void mc_http_cancel(mc_shard_t *shard, mc_handle_t handle)
+{
+	request_t *request = mc_table_get(shard->client.requests, handle);
+
+	if (request)
+		release(shard, request);
+}
--- /dev/null
+++ b/src/net/net_private.h
@@ -0,0 +1,145 @@
+/*
+ * The parts of a shard, as the files of this library share them.
+ */
+#ifndef MC_NET_PRIVATE_H
+#define MC_NET_PRIVATE_H
+
+#include <apr_poll.h>
+#include <apr_pools.h>
+#include <curl/curl.h>
+#include <microhttpd.h>
+#include <netinet/in.h>
+#include <pthread.h>
+#include <sys/socket.h>
+
+#include "mc/net.h"
+
+enum {
+	/* Most descriptors and timers of one shard. */
+	NET_WATCHES_MAX = 65536,
+	NET_TIMERS_MAX = 1 << 20,
+	NET_LISTEN_BACKLOG = 1024,
+};
+
+/* A call that waits in an inbox or until the end of a turn. */
+typedef struct {
+	void (*run)(mc_shard_t *shard, void *arg);
+	void *arg;
+} call_t;
+
+typedef struct {
+	call_t *list;
+	uint32_t count;
+	uint32_t capacity;
+} call_list_t;
+
+/* An inbox has a lock of its own, held only to add or to take the list. */
+typedef struct {
+	pthread_mutex_t lock;
+	call_list_t calls;
+} inbox_t;
+
+typedef struct {
+	mc_ms_t at;
+	mc_handle_t timer;
+} heap_entry_t;
+
+typedef struct {
+	mc_table_t *table;
+	heap_entry_t *heap;
+	uint32_t count;
+	uint32_t capacity;
+} timers_t;
+
+typedef struct {
+	apr_pollset_t *pollset;
+	apr_pool_t *pool;
+	mc_table_t *table;
+	/* Socket wrappers by slot of the table; they are used again. */
+	apr_socket_t *sockets[NET_WATCHES_MAX];
+} watches_t;
+
+typedef struct {
+	CURLM *multi;
+	mc_table_t *requests;
+	mc_handle_t timer;
+	bool kick_pending;
+	CURL *idle[256];
+	uint32_t idle_count;
+} http_client_t;
+
+typedef struct {
+	struct MHD_Daemon *daemon;
+	mc_handle_t watch;
+	mc_handle_t timer;
+	mc_table_t *exchanges;
+	mc_http_handler_t handler;
+	void *ctx;
+	uint32_t open;
+	bool run_pending;
+} http_server_t;
+
+struct mc_shard_t {
+	uint32_t index;
+	const mc_clock_t *clock;
+	mc_log_t *log;
+	mc_ms_t now;
+	mc_random_t random;
+	mc_counters_t counters;
+	pthread_mutex_t lock;
+	pthread_t thread;
+	bool started;
+	bool stopping;
+	inbox_t inbox;
+	call_list_t deferred;
+	timers_t timers;
+	watches_t watches;
+	mc_table_t *links;
+	http_client_t client;
+	http_server_t server;
+};
+
+mc_err_t call_list_add(call_list_t *calls, call_t call);
+/* Runs what was listed when it was called. Returns whether there was any. */
+bool call_list_run(call_list_t *calls, mc_shard_t *shard);
+
+void inbox_init(inbox_t *inbox);
+void inbox_destroy(inbox_t *inbox);
+bool inbox_run(inbox_t *inbox, mc_shard_t *shard);
+
+mc_err_t timers_init(timers_t *timers);
+void timers_destroy(timers_t *timers);
+void timers_run(mc_shard_t *shard);
+/* When the next timer fires; MC_MS_NEVER without one. */
+mc_ms_t timers_next(const timers_t *timers);
+
+mc_err_t watches_init(watches_t *watches);
+void watches_destroy(watches_t *watches);
+/* What was passed as @arg for a watch; NULL when the handle is stale. */
+void *watch_arg(mc_shard_t *shard, mc_handle_t watch);
+/* Waits up to @wait ms without the shard's lock. */
+void watches_poll(mc_shard_t *shard, mc_ms_t wait);
+
+mc_err_t links_init(mc_shard_t *shard);
+void links_destroy(mc_shard_t *shard);
+/* A connected descriptor of a listener becomes a link. */
+mc_err_t link_accept(mc_shard_t *shard, int fd, const mc_link_events_t *events,
+		     void *ctx);
+
+mc_err_t http_client_init(mc_shard_t *shard);
+void http_client_destroy(mc_shard_t *shard);
+
+mc_err_t http_server_init(mc_shard_t *shard);
+void http_server_destroy(mc_shard_t *shard);
+
+typedef struct {
+	struct sockaddr_storage storage;
+	socklen_t size;
+} address_t;
+
+mc_err_t address_parse(const char *text, address_t *address);
+uint16_t address_port(int fd);
+/* A bound, listening, non-blocking socket. */
+mc_err_t address_listen(const char *text, bool share, int *fd);
+
+#endif
