--- a/src/answer/include/mc/answer.h
+++ b/src/answer/include/mc/answer.h
@@ -34,6 +34,7 @@
 	MC_MERGE_WRONG_SNAPSHOT,
 	MC_MERGE_BAD_SLOT,
 	MC_MERGE_CLOSED,
+	MC_MERGE_NO_MEMORY,
 } mc_merge_t;
 
 typedef struct mc_answer_t mc_answer_t;
@@ -56,7 +57,7 @@
  * @documents: documents of the shard in that snapshot
  * @slot: receives the slot, counted from 0
  *
- * Return: MC_OK or MC_ERR_NO_MEMORY.
+ * Return: MC_OK, MC_ERR_NO_MEMORY, or MC_ERR_INTERNAL after the answer closed.
  */
 mc_err_t mc_answer_expect(mc_answer_t *answer, const char *snapshot,
 			  uint64_t documents, uint32_t *slot);
@@ -69,7 +70,10 @@
  * @hits: results; @slot of each is set by the answer
  * @count: number of hits
  *
- * A slot counts once: a second result of it is MC_MERGE_DUPLICATE.
+ * A slot counts once: a second result of it is MC_MERGE_DUPLICATE. A result
+ * that could not be copied is MC_MERGE_NO_MEMORY and changes nothing.
+ *
+ * Return: what became of the result.
  */
 mc_merge_t mc_answer_merge(mc_answer_t *answer, uint32_t slot,
 			   const char *snapshot, const mc_hit_t *hits,
@@ -78,14 +82,20 @@
 /**
  * mc_answer_miss() - note why a slot has no result so far
  *
- * The last reason counts; a result that comes later clears it.
+ * The last reason counts; a result that comes later clears it. Nothing is noted
+ * once the answer is closed.
  */
 void mc_answer_miss(mc_answer_t *answer, uint32_t slot, mc_err_t reason);
 
 /** mc_answer_has() - whether the slot's result was taken */
 bool mc_answer_has(const mc_answer_t *answer, uint32_t slot);
 
-/** mc_answer_reason() - why a slot is missing; MC_OK when it is not */
+/**
+ * mc_answer_reason() - why a slot is missing
+ *
+ * Return: MC_OK when it is not; MC_ERR_DEADLINE_EXCEEDED when no reason was
+ * noted; MC_ERR_INTERNAL when there is no such slot.
+ */
 mc_err_t mc_answer_reason(const mc_answer_t *answer, uint32_t slot);
 
 /** mc_answer_complete() - whether every slot's result was taken */
@@ -100,6 +110,7 @@
  * @count: receives the number of hits
  *
  * Return: hits by falling score, then by id, then by slot; owned by @answer.
+ * NULL is possible when there are none.
  */
 const mc_hit_t *mc_answer_close(mc_answer_t *answer, uint32_t *count);
 
--- /dev/null
+++ b/tests/fuzz/answer_fuzz.c
@@ -0,0 +1,219 @@
+/*
+ * Stateful fuzzing of an answer. The oracle keeps every hit of the results
+ * that count, namely the first one of each slot that has the slot's snapshot
+ * and comes before the answer closes; it sorts and cuts them at the end.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "mc/answer.h"
+
+enum {
+	MAX_SLOTS = 24,
+	MAX_HITS = 15,
+	SNAPSHOTS = 3,
+	ID_SIZE = 8,
+};
+
+typedef struct {
+	const uint8_t *data;
+	size_t size;
+} input_t;
+
+typedef struct {
+	char id[ID_SIZE];
+	double score;
+	uint32_t slot;
+} kept_t;
+
+typedef struct {
+	mc_answer_t *answer;
+	uint32_t limit;
+	uint32_t slot_count;
+	uint32_t snapshots[MAX_SLOTS];
+	uint64_t documents[MAX_SLOTS];
+	bool has[MAX_SLOTS];
+	mc_err_t reasons[MAX_SLOTS];
+	kept_t kept[MAX_SLOTS * MAX_HITS];
+	uint32_t kept_count;
+	bool closed;
+} model_t;
+
+static const char *const snapshots[SNAPSHOTS] = { "s", "s1", "s10" };
+
+static void require(bool holds, const char *promise)
+{
+	if (holds)
+		return;
+	fprintf(stderr, "broken: %s\n", promise);
+	abort();
+}
+
+static uint32_t next(input_t *input, uint32_t bound)
+{
+	if (!input->size)
+		return 0;
+	input->size--;
+	return *input->data++ % bound;
+}
+
+static void expect_slot(model_t *model, input_t *input)
+{
+	uint32_t at = model->slot_count;
+	uint32_t slot;
+	mc_err_t err;
+
+	if (at == MAX_SLOTS)
+		return;
+	model->snapshots[at] = next(input, SNAPSHOTS);
+	model->documents[at] = next(input, 256);
+	model->reasons[at] = MC_ERR_DEADLINE_EXCEEDED;
+	err = mc_answer_expect(model->answer, snapshots[model->snapshots[at]],
+			       model->documents[at], &slot);
+	require(!err == !model->closed, "slots are added until the close");
+	if (err)
+		return;
+	require(slot == at, "slots are counted from 0");
+	model->slot_count++;
+}
+
+static mc_merge_t expected_merge(const model_t *model, uint32_t slot,
+				 uint32_t snapshot)
+{
+	if (model->closed)
+		return MC_MERGE_CLOSED;
+	if (slot >= model->slot_count)
+		return MC_MERGE_BAD_SLOT;
+	if (model->has[slot])
+		return MC_MERGE_DUPLICATE;
+	return model->snapshots[slot] == snapshot ? MC_MERGE_TAKEN
+						  : MC_MERGE_WRONG_SNAPSHOT;
+}
+
+static void merge_result(model_t *model, input_t *input)
+{
+	uint32_t slot = next(input, MAX_SLOTS);
+	uint32_t snapshot = next(input, SNAPSHOTS);
+	uint32_t count = next(input, MAX_HITS + 1);
+	mc_merge_t expected = expected_merge(model, slot, snapshot);
+	kept_t results[MAX_HITS];
+	mc_hit_t hits[MAX_HITS];
+	uint32_t i;
+
+	for (i = 0; i < count; i++) {
+		kept_t *result = &results[i];
+
+		snprintf(result->id, ID_SIZE, "d%u", next(input, 12));
+		result->score = next(input, 16) / 4.0 - 1;
+		result->slot = slot;
+		hits[i] =
+			(mc_hit_t){ .id = result->id, .score = result->score };
+	}
+	require(mc_answer_merge(model->answer, slot, snapshots[snapshot], hits,
+				count) == expected,
+		"a slot's first right result counts, and no other");
+	if (expected != MC_MERGE_TAKEN)
+		return;
+	model->has[slot] = true;
+	for (i = 0; i < count; i++)
+		model->kept[model->kept_count++] = results[i];
+}
+
+static void miss_slot(model_t *model, input_t *input)
+{
+	uint32_t slot = next(input, MAX_SLOTS);
+	mc_err_t reason = (mc_err_t)(1 + next(input, MC_ERR_COUNT - 1));
+
+	mc_answer_miss(model->answer, slot, reason);
+	if (!model->closed && slot < model->slot_count)
+		model->reasons[slot] = reason;
+}
+
+static int compare_kept(const void *first, const void *second)
+{
+	const kept_t *a = first;
+	const kept_t *b = second;
+	int order = (a->score < b->score) - (a->score > b->score);
+
+	if (!order)
+		order = strcmp(a->id, b->id);
+	return order ? order : (a->slot > b->slot) - (a->slot < b->slot);
+}
+
+static void close_answer(model_t *model)
+{
+	uint32_t i, count, expected = model->kept_count;
+	const mc_hit_t *hits = mc_answer_close(model->answer, &count);
+
+	model->closed = true;
+	qsort(model->kept, model->kept_count, sizeof(*model->kept),
+	      compare_kept);
+	if (expected > model->limit)
+		expected = model->limit;
+	require(count == expected, "as many hits as the limit allows");
+	for (i = 0; i < count; i++)
+		require(!strcmp(hits[i].id, model->kept[i].id) &&
+				hits[i].score == model->kept[i].score &&
+				hits[i].slot == model->kept[i].slot,
+			"the best hits of all results, in order");
+}
+
+static void check_answer(const model_t *model)
+{
+	mc_coverage_t coverage = mc_answer_coverage(model->answer);
+	mc_coverage_t expected = { .shards_total = model->slot_count };
+	uint32_t i;
+
+	for (i = 0; i < model->slot_count; i++) {
+		expected.documents_total += model->documents[i];
+		expected.shards_answered += model->has[i];
+		if (model->has[i])
+			expected.documents_answered += model->documents[i];
+		require(mc_answer_has(model->answer, i) == model->has[i],
+			"a slot has a result once it was merged");
+		require(mc_answer_reason(model->answer, i) ==
+				(model->has[i] ? MC_OK : model->reasons[i]),
+			"a missing slot has its last reason");
+	}
+	require(coverage.shards_answered == expected.shards_answered &&
+			coverage.shards_total == expected.shards_total &&
+			coverage.documents_answered ==
+				expected.documents_answered &&
+			coverage.documents_total == expected.documents_total,
+		"coverage counts the slots whose result was merged");
+	require(mc_answer_complete(model->answer) ==
+			(expected.shards_answered == model->slot_count),
+		"an answer is complete with all its slots");
+}
+
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
+{
+	input_t input = { .data = data, .size = size };
+	model_t model = { .limit = next(&input, 40) };
+
+	model.answer = mc_answer_create(model.limit);
+	while (input.size) {
+		switch (next(&input, 8)) {
+		case 0:
+		case 1:
+			expect_slot(&model, &input);
+			break;
+		case 2:
+			miss_slot(&model, &input);
+			break;
+		case 3:
+			/* Rare, so that most answers grow before they close. */
+			if (next(&input, 8) == 0)
+				close_answer(&model);
+			break;
+		default:
+			merge_result(&model, &input);
+		}
+		check_answer(&model);
+	}
+	close_answer(&model);
+	check_answer(&model);
+	mc_answer_destroy(model.answer);
+	return 0;
+}
--- /dev/null
+++ b/tests/unit/answer_test.c
@@ -0,0 +1,111 @@
+/*
+ * Unit tests of the answer library.
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdio.h>
+#include <string.h>
+#include <cmocka.h>
+
+#include "mc/answer.h"
+
+static mc_answer_t *answer_of_two(uint32_t limit)
+{
+	mc_answer_t *answer = mc_answer_create(limit);
+	uint32_t slot;
+
+	assert_int_equal(mc_answer_expect(answer, "s1", 10, &slot), MC_OK);
+	assert_int_equal(slot, 0);
+	assert_int_equal(mc_answer_expect(answer, "s1", 30, &slot), MC_OK);
+	assert_int_equal(slot, 1);
+	return answer;
+}
+
+static void test_merge_and_order(void **state)
+{
+	const mc_hit_t first[] = { { "b", 2 }, { "a", 1 }, { "c", 9 } };
+	const mc_hit_t second[] = { { "a", 2 }, { "d", 0 }, { "c", 9 } };
+	mc_answer_t *answer = answer_of_two(4);
+	const mc_hit_t *hits;
+	uint32_t count;
+
+	(void)state;
+	assert_int_equal(mc_answer_merge(answer, 1, "s1", second, 3),
+			 MC_MERGE_TAKEN);
+	assert_false(mc_answer_complete(answer));
+	assert_int_equal(mc_answer_merge(answer, 0, "s1", first, 3),
+			 MC_MERGE_TAKEN);
+	assert_true(mc_answer_complete(answer));
+	hits = mc_answer_close(answer, &count);
+	assert_int_equal(count, 4);
+	assert_string_equal(hits[0].id, "c");
+	assert_int_equal(hits[0].slot, 0);
+	assert_string_equal(hits[1].id, "c");
+	assert_int_equal(hits[1].slot, 1);
+	assert_string_equal(hits[2].id, "a");
+	assert_string_equal(hits[3].id, "b");
+	mc_answer_destroy(answer);
+}
+
+static void test_only_right_results_count(void **state)
+{
+	const mc_hit_t hit = { "a", 1 };
+	mc_answer_t *answer = answer_of_two(4);
+	mc_coverage_t coverage;
+	uint32_t count, slot;
+
+	(void)state;
+	assert_int_equal(mc_answer_merge(answer, 2, "s1", &hit, 1),
+			 MC_MERGE_BAD_SLOT);
+	assert_int_equal(mc_answer_merge(answer, 1, "s2", &hit, 1),
+			 MC_MERGE_WRONG_SNAPSHOT);
+	assert_int_equal(mc_answer_merge(answer, 1, "s1", &hit, 1),
+			 MC_MERGE_TAKEN);
+	assert_int_equal(mc_answer_merge(answer, 1, "s1", &hit, 1),
+			 MC_MERGE_DUPLICATE);
+	mc_answer_close(answer, &count);
+	assert_int_equal(count, 1);
+	assert_int_equal(mc_answer_merge(answer, 0, "s1", &hit, 1),
+			 MC_MERGE_CLOSED);
+	assert_int_equal(mc_answer_expect(answer, "s1", 1, &slot),
+			 MC_ERR_INTERNAL);
+	coverage = mc_answer_coverage(answer);
+	assert_int_equal(coverage.shards_answered, 1);
+	assert_int_equal(coverage.shards_total, 2);
+	assert_int_equal(coverage.documents_answered, 30);
+	assert_int_equal(coverage.documents_total, 40);
+	mc_answer_destroy(answer);
+}
+
+static void test_reasons(void **state)
+{
+	mc_answer_t *answer = answer_of_two(0);
+	uint32_t count;
+
+	(void)state;
+	assert_int_equal(mc_answer_reason(answer, 0), MC_ERR_DEADLINE_EXCEEDED);
+	mc_answer_miss(answer, 0, MC_ERR_TARGET_FAILED);
+	mc_answer_miss(answer, 0, MC_ERR_NO_TARGET);
+	mc_answer_miss(answer, 7, MC_ERR_NO_TARGET);
+	assert_int_equal(mc_answer_reason(answer, 0), MC_ERR_NO_TARGET);
+	assert_int_equal(mc_answer_merge(answer, 0, "s1", NULL, 0),
+			 MC_MERGE_TAKEN);
+	assert_int_equal(mc_answer_reason(answer, 0), MC_OK);
+	assert_true(mc_answer_has(answer, 0));
+	assert_false(mc_answer_has(answer, 1));
+	mc_answer_close(answer, &count);
+	assert_int_equal(count, 0);
+	mc_answer_destroy(answer);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_merge_and_order),
+		cmocka_unit_test(test_only_right_results_count),
+		cmocka_unit_test(test_reasons),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
