--- /dev/null
+++ b/src/snapshot/catalogue.h
@@ -0,0 +1,45 @@
+/*
+ * Inside of a catalogue: what each target can serve, as bit masks. A
+ * snapshot's bit is its position among its service's snapshots, newest first.
+ */
+#ifndef MC_SNAPSHOT_CATALOGUE_H
+#define MC_SNAPSHOT_CATALOGUE_H
+
+#include "mc/snapshot.h"
+
+/**
+ * struct mc_served_t - what a target can serve
+ * @mask: snapshots that it reported, or all of its layout
+ * @reported: @mask is from a report
+ */
+typedef struct mc_served_t {
+	uint64_t mask;
+	bool reported;
+} mc_served_t;
+
+/**
+ * struct mc_catalogue_t - the catalogue
+ * @config: one reference is held
+ * @bits: bit of each snapshot row, MC_SNAPSHOTS_PER_SERVICE if it has none
+ * @layouts: mask of each layout row's snapshots
+ * @targets: what each target row can serve
+ */
+struct mc_catalogue_t {
+	const mc_config_t *config;
+	uint8_t *bits;
+	uint64_t *layouts;
+	mc_served_t *targets;
+};
+
+/**
+ * mc_catalogue_carry() - take over the reports of an earlier catalogue
+ * @catalogue: receives the reports
+ * @previous: the earlier one
+ *
+ * A report is carried over when the target still holds the same shard of the
+ * same layout, and for the snapshots that both configurations name.
+ */
+void mc_catalogue_carry(mc_catalogue_t *catalogue,
+			const mc_catalogue_t *previous);
+
+#endif
