route: owners, replica policies and the router

Cause: sub-queries need a replica and one of its owner gathers, decided alike on every instance and without allocation per sub-query.

Ruled out: a share of versions drawn per sub-query, as a request would mix versions; round robin by number of choices, as a replica that is new or comes back would get all work until it caught up; a latency that stays until the next sample, as with two replicas the slower one would never be tried again.

Change: owners by rendezvous weights, found once when the router is built. Replicas are ranked by failure, then version, then data centre, and the policy chooses among those of the best rank. A request that shall use the new version falls back to the old one, and never the reverse. Round robin takes the replica chosen longest ago.

--- a/src/route/include/mc/route.h
+++ b/src/route/include/mc/route.h
@@ -41,7 +41,7 @@
 
 enum {
 	MC_ROUTE_OWNERS_MAX = 64,
-	/* Time for which a target that drains or failed gets no new work. */
+	/* Time for which a target that failed is avoided. */
 	MC_ROUTE_AVOID_MS = 1000,
 };
 
@@ -62,13 +62,15 @@
 /**
  * struct mc_route_target_t - what a choice knows of a candidate
  * @target: row of the target
+ * @key: the target's key, the same on every instance
  * @in_flight: sub-queries that this shard has out at it
  * @latency: smoothed latency, ms; 0 when unknown
- * @turn: how often it was chosen so far
+ * @turn: number of the choice that chose it last; 0 before the first one
  * @local: in this front's own data centre
  */
 struct mc_route_target_t {
 	mc_row_t target;
+	uint64_t key;
 	uint32_t in_flight;
 	double latency;
 	uint64_t turn;
@@ -121,7 +123,10 @@
  * @to: version that has the share
  * @share: in [0, 1]
  *
- * Services without a call use targets of every version.
+ * Services without a call use targets of every version; with one, targets of
+ * versions other than these two get no work. A request that shall use @to falls
+ * back to @from where no replica of @to is left, and never the reverse. Shares
+ * are not carried over to the next router.
  */
 void mc_router_version_share(mc_router_t *router, mc_row_t service,
 			     const char *from, const char *to, double share);
@@ -137,8 +142,8 @@
  * mc_router_target_state() - note a target's state
  * @router: the router
  * @target: row of the target
- * @state: DRAINING holds until a report says READY; FAILED holds for
- *	MC_ROUTE_AVOID_MS unless no other replica is left
+ * @state: DRAINING holds until READY; FAILED holds for MC_ROUTE_AVOID_MS,
+ *	whatever is said meanwhile, unless no other replica is left
  * @now: ms
  */
 void mc_router_target_state(mc_router_t *router, mc_row_t target,
@@ -147,7 +152,8 @@
 /**
  * mc_router_usable() - whether a target may get new work
  *
- * False when its data centre is out, it drains, or no owner is usable.
+ * False when its data centre is out, it drains, or no owner is usable. Versions
+ * and failures are left to mc_router_choose().
  */
 bool mc_router_usable(const mc_router_t *router, mc_row_t target);
 
@@ -204,7 +210,13 @@
 /** mc_router_begin() - a new request starts to be planned */
 void mc_router_begin(mc_router_t *router);
 
-/** mc_router_sent() - a sub-query went out to @choice */
+/**
+ * mc_router_sent() - a sub-query went out to @choice
+ *
+ * Counts of targets are carried over to the next router, those of gathers come
+ * from its parameters. Choices name rows, so an open one has to be translated
+ * by the keys of its target and gather when the router is replaced.
+ */
 void mc_router_sent(mc_router_t *router, mc_route_choice_t choice);
 
 /**
