--- /dev/null
+++ b/tests/fuzz/snapshot_fuzz.c
@@ -0,0 +1,359 @@
+/*
+ * Stateful fuzzing of the catalogue. Cases walk through a fixed set of
+ * configurations in which the same addresses hold other shards. The oracle
+ * keeps a plain table of who serves what by the last report, and looks through
+ * all snapshots for the one to pin.
+ */
+#include <stdint.h>
+
+#include "../config_text.h"
+#include "mc/snapshot.h"
+
+enum {
+	CONFIGS = 24,
+	SERVICES = 2,
+	LAYOUTS = 2,
+	MAX_SHARDS = 3,
+	MAX_REPLICAS = 3,
+	MAX_SNAPSHOTS = 5,
+	IDS = 7,
+	MAX_TARGETS = SERVICES * LAYOUTS * MAX_SHARDS * MAX_REPLICAS,
+};
+
+typedef struct {
+	const uint8_t *data;
+	size_t size;
+} input_t;
+
+typedef struct {
+	const mc_config_t *config;
+	mc_catalogue_t *catalogue;
+	bool reported[MAX_TARGETS];
+	bool serves[MAX_TARGETS][SERVICES * MAX_SNAPSHOTS];
+	bool usable[MAX_TARGETS];
+} model_t;
+
+typedef struct {
+	bool whole;
+	uint64_t served;
+	uint64_t total;
+	bool any;
+} reach_t;
+
+static const mc_config_t *configs[CONFIGS];
+
+static void require(bool holds, const char *promise)
+{
+	if (holds)
+		return;
+	fprintf(stderr, "broken: %s\n", promise);
+	abort();
+}
+
+static uint32_t next(input_t *input, uint32_t bound)
+{
+	if (!input->size)
+		return 0;
+	input->size--;
+	return *input->data++ % bound;
+}
+
+static void add_layout(config_text_t *text, int service, int layout,
+		       mc_random_t *random, uint32_t *addresses)
+{
+	uint32_t shards = 1 + mc_random_below(random, MAX_SHARDS);
+	uint32_t i, j, replicas;
+
+	config_text_add(text,
+			"[[layout]]\nservice = \"s%d\"\nname = \"l%d\"\n"
+			"documents = [",
+			service, layout);
+	for (i = 0; i < shards; i++)
+		config_text_add(text, "%u,", mc_random_below(random, 4));
+	config_text_add(text, "]\n");
+	for (i = 0; i < shards; i++) {
+		replicas = 1 + mc_random_below(random, MAX_REPLICAS);
+		for (j = 0; j < replicas; j++)
+			config_text_add(
+				text,
+				"[[target]]\nservice = \"s%d\"\n"
+				"layout = \"l%d\"\nshard = %u\n"
+				"data_center = \"north\"\nversion = \"v1\"\n"
+				"address = \"10.0.0.%u:9000\"\n",
+				service, layout, i, ++*addresses);
+	}
+}
+
+static void add_snapshots(config_text_t *text, int service, mc_random_t *random)
+{
+	uint32_t count = 1 + mc_random_below(random, MAX_SNAPSHOTS);
+	uint32_t first = mc_random_below(random, IDS);
+	uint32_t i;
+
+	for (i = 0; i < count; i++)
+		config_text_add(text,
+				"[[snapshot]]\nservice = \"s%d\"\n"
+				"id = \"i%u\"\nlayout = \"l%u\"\norder = %u\n",
+				service, (first + i) % IDS,
+				mc_random_below(random, LAYOUTS),
+				(i * 3 + first) % 16);
+}
+
+static const mc_config_t *make_config(uint64_t seed)
+{
+	config_text_t text = { 0 };
+	uint32_t addresses = 0;
+	mc_random_t random;
+	int i, j;
+
+	mc_random_seed(&random, seed);
+	config_text_add(&text, "[[data_center]]\nname = \"north\"\n"
+			       "state = \"in\"\n");
+	for (i = 0; i < SERVICES; i++) {
+		config_text_add(&text,
+				"[[service]]\nname = \"s%d\"\n"
+				"deadline_ms = 100\n",
+				i);
+		for (j = 0; j < LAYOUTS; j++)
+			add_layout(&text, i, j, &random, &addresses);
+		add_snapshots(&text, i, &random);
+	}
+	return config_text_parse(&text);
+}
+
+/* Pools are mapped, so the leak checker does not see what they hold. */
+static void free_configs(void)
+{
+	int i;
+
+	for (i = 0; i < CONFIGS; i++)
+		mc_config_unref(configs[i]);
+}
+
+int LLVMFuzzerInitialize(int *argc, char ***argv)
+{
+	int i;
+
+	(void)argc;
+	(void)argv;
+	for (i = 0; i < CONFIGS; i++)
+		configs[i] = make_config((uint64_t)i);
+	atexit(free_configs);
+	return 0;
+}
+
+static bool of_layout(const mc_config_t *config, mc_row_t target,
+		      mc_row_t snapshot)
+{
+	return config->snapshots[snapshot].layout ==
+	       config->targets[target].layout;
+}
+
+static void forget(model_t *model, mc_row_t target)
+{
+	mc_row_t i;
+
+	model->reported[target] = false;
+	for (i = 0; i < model->config->snapshot_count; i++)
+		model->serves[target][i] = of_layout(model->config, target, i);
+}
+
+static bool same_shard(const mc_config_t *a, const mc_target_t *first,
+		       const mc_config_t *b, const mc_target_t *second)
+{
+	return first->key == second->key && first->shard == second->shard &&
+	       !strcmp(a->layouts[first->layout].name,
+		       b->layouts[second->layout].name) &&
+	       !strcmp(a->services[first->service].name,
+		       b->services[second->service].name);
+}
+
+static bool served_before(const model_t *old, mc_row_t target, const char *id)
+{
+	mc_row_t i;
+
+	for (i = 0; i < old->config->snapshot_count; i++)
+		if (old->serves[target][i] &&
+		    !strcmp(old->config->snapshots[i].id, id))
+			return true;
+	return false;
+}
+
+static void carry(model_t *model, const model_t *old, mc_row_t target)
+{
+	const mc_config_t *config = model->config;
+	mc_row_t i, j;
+
+	for (i = 0; i < old->config->target_count; i++) {
+		if (!old->reported[i] ||
+		    !same_shard(config, &config->targets[target], old->config,
+				&old->config->targets[i]))
+			continue;
+		model->reported[target] = true;
+		for (j = 0; j < config->snapshot_count; j++)
+			model->serves[target][j] =
+				of_layout(config, target, j) &&
+				served_before(old, i, config->snapshots[j].id);
+	}
+}
+
+static void change_config(model_t *model, const mc_config_t *config)
+{
+	model_t old = *model;
+	mc_row_t i;
+
+	model->config = config;
+	model->catalogue = mc_catalogue_create(config, old.catalogue);
+	mc_catalogue_destroy(old.catalogue);
+	for (i = 0; i < config->target_count; i++) {
+		forget(model, i);
+		if (old.config)
+			carry(model, &old, i);
+	}
+}
+
+static void report(model_t *model, input_t *input)
+{
+	static const char *const all[IDS + 1] = { "i0", "i1", "i2", "i3",
+						  "i4", "i5", "i6", "x" };
+	const mc_config_t *config = model->config;
+	mc_row_t target = next(input, config->target_count);
+	uint32_t mask = next(input, 256);
+	const char *ids[IDS + 1];
+	bool changed = false;
+	uint32_t i, count = 0;
+
+	for (i = 0; i <= IDS; i++)
+		if (mask & 1u << i)
+			ids[count++] = all[i];
+	for (i = 0; i < config->snapshot_count; i++) {
+		uint32_t number = (uint32_t)(config->snapshots[i].id[1] - '0');
+		bool serves =
+			of_layout(config, target, i) && mask & 1u << number;
+
+		changed = changed || serves != model->serves[target][i];
+		model->serves[target][i] = serves;
+	}
+	model->reported[target] = true;
+	require(mc_catalogue_report(model->catalogue, target, ids, count) ==
+			changed,
+		"a report says whether the set changed");
+}
+
+static bool is_usable(void *ctx, mc_row_t target)
+{
+	return ((const model_t *)ctx)->usable[target];
+}
+
+static reach_t reach_of(const model_t *model, mc_row_t snapshot)
+{
+	const mc_config_t *config = model->config;
+	mc_row_t row = config->snapshots[snapshot].layout;
+	reach_t reach = { .whole = true };
+	uint32_t shard, i;
+
+	for (shard = 0; shard < config->layouts[row].shard_count; shard++) {
+		uint64_t documents = config->layouts[row].documents[shard];
+		bool served = false;
+
+		for (i = 0; i < config->target_count; i++)
+			if (config->targets[i].layout == row &&
+			    config->targets[i].shard == shard &&
+			    model->usable[i] && model->serves[i][snapshot])
+				served = true;
+		reach.total += documents;
+		reach.served += served ? documents : 0;
+		reach.any = reach.any || served;
+		reach.whole = reach.whole && served;
+	}
+	return reach;
+}
+
+/* Whether the snapshot of @a is to be pinned rather than an older one's @b. */
+static bool goes_before(const reach_t *a, bool newer, const reach_t *b)
+{
+	uint64_t left = a->served * (b->total ? b->total : 1);
+	uint64_t right = b->served * (a->total ? a->total : 1);
+
+	if (a->whole != b->whole)
+		return a->whole;
+	if (!a->whole && left != right)
+		return left > right;
+	return newer;
+}
+
+static void check_pin(model_t *model, mc_row_t service)
+{
+	const mc_config_t *config = model->config;
+	mc_usable_t usable = { .usable = is_usable, .ctx = model };
+	mc_row_t best = MC_ROW_NONE, pinned;
+	reach_t best_reach = { 0 };
+	mc_row_t i;
+	mc_err_t err;
+
+	for (i = 0; i < config->snapshot_count; i++) {
+		reach_t reach = reach_of(model, i);
+
+		if (config->snapshots[i].service != service || !reach.any)
+			continue;
+		if (best != MC_ROW_NONE &&
+		    !goes_before(&reach,
+				 config->snapshots[i].order >
+					 config->snapshots[best].order,
+				 &best_reach))
+			continue;
+		best = i;
+		best_reach = reach;
+	}
+	err = mc_catalogue_pin(model->catalogue, service, &usable, &pinned);
+	require(err == (best == MC_ROW_NONE ? MC_ERR_NO_SNAPSHOT : MC_OK),
+		"a snapshot is pinned if a shard of any is served");
+	require(err || pinned == best,
+		"the newest whole snapshot is pinned, else the largest share");
+}
+
+static void check(model_t *model)
+{
+	const mc_config_t *config = model->config;
+	mc_row_t i, j;
+
+	for (i = 0; i < config->target_count; i++)
+		for (j = 0; j < config->snapshot_count; j++)
+			require(mc_catalogue_serves(model->catalogue, i, j) ==
+					model->serves[i][j],
+				"a target serves what it last reported");
+	for (i = 0; i < config->service_count; i++)
+		check_pin(model, i);
+}
+
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
+{
+	input_t input = { .data = data, .size = size };
+	model_t model = { 0 };
+	mc_row_t target;
+
+	memset(model.usable, true, sizeof(model.usable));
+	change_config(&model, configs[next(&input, CONFIGS)]);
+	while (input.size) {
+		switch (next(&input, 8)) {
+		case 0:
+			change_config(&model, configs[next(&input, CONFIGS)]);
+			break;
+		case 1:
+			target = next(&input, model.config->target_count);
+			mc_catalogue_forget(model.catalogue, target);
+			forget(&model, target);
+			break;
+		case 2:
+		case 3:
+			target = next(&input, model.config->target_count);
+			model.usable[target] = !model.usable[target];
+			break;
+		default:
+			report(&model, &input);
+		}
+		check(&model);
+	}
+	mc_catalogue_destroy(model.catalogue);
+	return 0;
+}
