Add budgets, hedge policies and the at-most-once states

Cause: extra sub-queries must stay a small share of the load, and a request that may run only once needs one place that says whether it may be dispatched and what its refusal may claim. Ruled out: P-square for the running quantile, which keeps five markers where one value and one step do. A request without a key may be dispatched from NEW. A key that another holds is always MC_ERR_DUPLICATE, as its first use may have run.

--- a/src/retry/retry.c
+++ /dev/null
@@ -1,4 +0,0 @@
-/*
- * Stub.
- */
-#include "mc/retry.h"
--- /dev/null
+++ b/tests/unit/retry_test.c
@@ -0,0 +1,135 @@
+/*
+ * Unit tests of the retry library.
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <cmocka.h>
+
+#include "mc/retry.h"
+
+static void test_budget(void **state)
+{
+	mc_budget_t budget;
+
+	(void)state;
+	mc_budget_init(&budget, 5, 1);
+	assert_true(mc_budget_spend(&budget));
+	assert_false(mc_budget_spend(&budget));
+	mc_budget_earn(&budget, 19);
+	assert_false(mc_budget_spend(&budget));
+	mc_budget_earn(&budget, 1);
+	assert_true(mc_budget_spend(&budget));
+	mc_budget_refund(&budget);
+	mc_budget_earn(&budget, UINT32_MAX);
+	assert_true(mc_budget_spend(&budget));
+	assert_false(mc_budget_spend(&budget));
+	budget.unbounded = true;
+	assert_true(mc_budget_spend(&budget));
+}
+
+static double estimate(double q, uint32_t samples, mc_quantile_t *quantile)
+{
+	mc_random_t random;
+
+	mc_random_seed(&random, 1);
+	while (samples--)
+		mc_quantile_add(quantile, q, mc_random_below(&random, 100));
+	return quantile->value;
+}
+
+static void test_quantile(void **state)
+{
+	mc_quantile_t p50 = { 0 }, p95 = { 0 };
+
+	(void)state;
+	assert_in_range(estimate(0.5, 2000, &p50), 40, 60);
+	assert_in_range(estimate(0.95, 2000, &p95), 85, 100);
+	/* It follows a slower target and comes back. */
+	while (p95.samples < 2500)
+		mc_quantile_add(&p95, 0.95, 1000);
+	assert_in_range(p95.value, 950, 1050);
+	assert_in_range(estimate(0.95, 5000, &p95), 85, 110);
+}
+
+static void test_hedge(void **state)
+{
+	mc_quantile_t p95 = { .value = 11.5, .samples = 100 };
+	const mc_hedge_policy_t *policy = mc_hedge_policy("p95");
+
+	(void)state;
+	assert_int_equal(policy->delay(&p95, 100), 12);
+	assert_true(policy->delay(&p95, 12) == MC_MS_NEVER);
+	p95.samples = 1;
+	assert_true(policy->delay(&p95, 100) == MC_MS_NEVER);
+	policy = mc_hedge_policy("none");
+	p95.samples = 100;
+	assert_true(policy->delay(&p95, 100) == MC_MS_NEVER);
+	assert_null(mc_hedge_policy("p99"));
+}
+
+static void test_wanted(void **state)
+{
+	(void)state;
+	assert_true(mc_retry_wanted(MC_ERR_TARGET_SHED, 1, 50));
+	assert_true(mc_retry_wanted(MC_ERR_WRONG_SNAPSHOT, 2, 50));
+	assert_false(mc_retry_wanted(MC_ERR_TARGET_SHED, 3, 50));
+	assert_false(mc_retry_wanted(MC_ERR_TARGET_SHED, 1, 1));
+	assert_false(mc_retry_wanted(MC_ERR_DEADLINE_EXCEEDED, 1, 50));
+	assert_false(mc_retry_wanted(MC_ERR_CANCELED, 1, 50));
+	assert_false(mc_retry_wanted(MC_ERR_OUTCOME_UNKNOWN, 1, 50));
+	assert_false(mc_retry_wanted(MC_OK, 1, 50));
+}
+
+static void test_once_answer(void **state)
+{
+	mc_once_t once = { 0 };
+
+	(void)state;
+	assert_int_equal(mc_once_step(&once, MC_ONCE_EV_CLAIM, MC_OK),
+			 MC_ONCE_DO_CLAIM);
+	assert_int_equal(mc_once_step(&once, MC_ONCE_EV_DISPATCH, MC_OK),
+			 MC_ONCE_DO_NOTHING);
+	mc_once_step(&once, MC_ONCE_EV_CLAIM_OURS, MC_OK);
+	assert_int_equal(mc_once_step(&once, MC_ONCE_EV_DISPATCH, MC_OK),
+			 MC_ONCE_DO_DISPATCH);
+	assert_int_equal(mc_once_step(&once, MC_ONCE_EV_DISPATCH, MC_OK),
+			 MC_ONCE_DO_NOTHING);
+	assert_int_equal(mc_once_step(&once, MC_ONCE_EV_ANSWER, MC_OK),
+			 MC_ONCE_DO_ANSWER);
+	assert_int_equal(mc_once_step(&once, MC_ONCE_EV_LOST, MC_OK),
+			 MC_ONCE_DO_NOTHING);
+	assert_int_equal(once.dispatches, 1);
+}
+
+static void test_once_refusals(void **state)
+{
+	mc_once_t lost = { .state = MC_ONCE_DISPATCHED, .dispatches = 1 };
+	mc_once_t shed = lost;
+	mc_once_t others = { .state = MC_ONCE_CLAIMING };
+
+	(void)state;
+	/* A kind with "not run" that comes with a lost answer is not kept. */
+	assert_int_equal(
+		mc_once_step(&lost, MC_ONCE_EV_LOST, MC_ERR_DEADLINE_PAST),
+		MC_ONCE_DO_REFUSE);
+	assert_int_equal(lost.reason, MC_ERR_OUTCOME_UNKNOWN);
+	mc_once_step(&shed, MC_ONCE_EV_NOT_RUN, MC_ERR_TARGET_DRAINING);
+	assert_int_equal(shed.reason, MC_ERR_TARGET_DRAINING);
+	mc_once_step(&others, MC_ONCE_EV_CLAIM_OTHERS, MC_ERR_CONFLICT);
+	assert_int_equal(others.reason, MC_ERR_DUPLICATE);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_budget),
+		cmocka_unit_test(test_quantile),
+		cmocka_unit_test(test_hedge),
+		cmocka_unit_test(test_wanted),
+		cmocka_unit_test(test_once_answer),
+		cmocka_unit_test(test_once_refusals),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
