--- /dev/null
+++ b/tests/standins/counts.c
@@ -0,0 +1,63 @@
+/*
+ * Open addressing with linear search; the table grows at half full.
+ */
+#include <stdlib.h>
+
+#include "mc/base.h"
+#include "counts.h"
+
+enum {
+	FIRST_SIZE = 1024,
+};
+
+/* Never 0, which marks a free slot. */
+static uint64_t hash_of(const char *kind, const char *name)
+{
+	return mc_hash_pair(mc_hash_string(kind), mc_hash_string(name)) | 1;
+}
+
+static count_slot_t *find(const counts_t *counts, uint64_t hash)
+{
+	size_t i = (hash >> 1) & (counts->size - 1);
+
+	while (counts->slots[i].hash && counts->slots[i].hash != hash)
+		i = (i + 1) & (counts->size - 1);
+	return &counts->slots[i];
+}
+
+static void grow(counts_t *counts)
+{
+	counts_t next = { .size = counts->size ? counts->size * 2 : FIRST_SIZE,
+			  .used = counts->used };
+	size_t i;
+
+	next.slots = calloc(next.size, sizeof(*next.slots));
+	if (!next.slots)
+		abort();
+	for (i = 0; i < counts->size; i++)
+		if (counts->slots[i].hash)
+			*find(&next, counts->slots[i].hash) = counts->slots[i];
+	free(counts->slots);
+	*counts = next;
+}
+
+void counts_add(counts_t *counts, const char *kind, const char *name)
+{
+	uint64_t hash = hash_of(kind, name);
+	count_slot_t *slot;
+
+	if (counts->used * 2 >= counts->size)
+		grow(counts);
+	slot = find(counts, hash);
+	if (!slot->hash)
+		counts->used++;
+	slot->hash = hash;
+	slot->count++;
+}
+
+uint32_t counts_get(const counts_t *counts, const char *kind, const char *name)
+{
+	if (!counts->size)
+		return 0;
+	return find(counts, hash_of(kind, name))->count;
+}
--- /dev/null
+++ b/tests/standins/standin_target.c
@@ -0,0 +1,420 @@
+/*
+ * Stand-in of targets: one process serves several, each on its own port, with
+ * the protocol of docs/PROTOCOL.md and behaviour that a test sets. Work in
+ * flight counts sub-queries; a run counts as one.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "target.h"
+
+enum {
+	TARGETS_MAX = 1024,
+	HITS_MAX = 1000,
+	/* Scores fall by one per rank and by this part of it per shard. */
+	SCORE_FIRST = 1000000,
+	SHARDS_PER_RANK = 8192,
+};
+
+static void query_end(target_t *target, query_t *query)
+{
+	if (query->counted)
+		target->in_flight--;
+	query->counted = false;
+}
+
+static void job_free(void *arg)
+{
+	job_t *job = arg;
+	target_t *target = job->target;
+	size_t i;
+
+	pthread_mutex_lock(&target->lock);
+	TAILQ_REMOVE(&target->jobs, job, entry);
+	for (i = 0; i < job->count; i++)
+		query_end(target, &job->queries[i]);
+	pthread_mutex_unlock(&target->lock);
+	for (i = 0; i < job->count; i++) {
+		free(job->queries[i].request);
+		free(job->queries[i].snapshot);
+	}
+	free(job->queries);
+	free(job->key);
+	free(job);
+}
+
+static job_t *job_create(target_t *target, standin_exchange_t *exchange,
+			 size_t count)
+{
+	job_t *job = calloc(1, sizeof(*job));
+
+	if (!job)
+		return NULL;
+	job->target = target;
+	job->exchange = exchange;
+	job->queries = calloc(count + 1, sizeof(*job->queries));
+	if (!job->queries) {
+		free(job);
+		return NULL;
+	}
+	job->count = count;
+	exchange->work = job;
+	exchange->free_work = job_free;
+	TAILQ_INSERT_TAIL(&target->jobs, job, entry);
+	return job;
+}
+
+static char *text_copy(const json_t *json, const char *key)
+{
+	const char *text = json_string_value(json_object_get(json, key));
+
+	return strdup(text ? text : "");
+}
+
+/* Return: whether it is taken; else it is shed. */
+static bool admit(target_t *target, query_t *query)
+{
+	const behaviour_t *behaviour = &target->behaviour;
+	bool cold = standin_now_us() < target->cold_until;
+	json_int_t bears = cold ? behaviour->cold_bears : behaviour->bears;
+
+	if (bears > 0 && target->in_flight >= bears) {
+		target->totals.breaches++;
+		if (cold)
+			target->totals.cold_breaches++;
+		if (behaviour->shed) {
+			target->totals.sheds++;
+			return false;
+		}
+	}
+	query->counted = true;
+	target->in_flight++;
+	if (target->in_flight > target->totals.max_in_flight)
+		target->totals.max_in_flight = target->in_flight;
+	return true;
+}
+
+static bool has_snapshot(const target_t *target, const char *snapshot)
+{
+	size_t i;
+	json_t *id;
+
+	json_array_foreach(
+		target->snapshots, i,
+		id) if (!strcmp(json_string_value(id), snapshot)) return true;
+	return false;
+}
+
+static void query_begin(target_t *target, query_t *query, const json_t *json)
+{
+	query->request = text_copy(json, "request");
+	query->snapshot = text_copy(json, "snapshot");
+	query->shard = json_integer_value(json_object_get(json, "shard"));
+	query->limit = json_integer_value(json_object_get(json, "limit"));
+	if (query->limit > HITS_MAX)
+		query->limit = HITS_MAX;
+	target->totals.queries++;
+	counts_add(&target->counts, "search", query->request);
+	if (!admit(target, query))
+		query->error = "shed";
+	else if (!has_snapshot(target, query->snapshot))
+		query->error = "snapshot";
+	else if (target_chance(target, target->behaviour.fail_search_percent))
+		query->error = "internal";
+}
+
+static json_t *query_hits(const query_t *query)
+{
+	char id[2 * TARGET_NAME_SIZE];
+	json_t *hits = json_array();
+	json_int_t i;
+	double score;
+
+	for (i = 0; i < query->limit; i++) {
+		snprintf(id, sizeof(id), "%.64s/%lld/%lld", query->snapshot,
+			 (long long)query->shard, (long long)i);
+		score = (double)(SCORE_FIRST - i) -
+			(double)query->shard / SHARDS_PER_RANK;
+		json_array_append_new(
+			hits, json_pack("{ss sf}", "id", id, "score", score));
+	}
+	return hits;
+}
+
+static json_t *query_answer(const target_t *target, const query_t *query)
+{
+	const char *echo = target->behaviour.echo_snapshot;
+
+	if (query->error)
+		return json_pack("{ss sI ss}", "request", query->request,
+				 "shard", query->shard, "error", query->error);
+	return json_pack("{ss sI ss so}", "request", query->request, "shard",
+			 query->shard, "snapshot",
+			 *echo ? echo : query->snapshot, "hits",
+			 query_hits(query));
+}
+
+static json_t *report(const target_t *target)
+{
+	return json_pack("{ss ss sb sf sO}", "start", target->start, "version",
+			 target->behaviour.version, "draining",
+			 (int)target->behaviour.draining, "load",
+			 target_load(target), "snapshots", target->snapshots);
+}
+
+/*
+ * Delays the job; past the caller's deadline the queries of a search fail at
+ * that time, while a run goes on.
+ */
+static enum MHD_Result job_delay(target_t *target, job_t *job)
+{
+	const char *header = standin_header(job->exchange, "Deadline-Ms");
+	int64_t delay = target->behaviour.delay;
+	int64_t deadline;
+	size_t i;
+
+	if (target_chance(target, target->behaviour.slow_percent))
+		delay = (int64_t)((double)delay *
+				  target->behaviour.delay_factor);
+	deadline = header ? strtoll(header, NULL, 10) * STANDIN_US_PER_MS : 0;
+	if (header && !job->key && delay > deadline) {
+		delay = deadline;
+		for (i = 0; i < job->count; i++)
+			if (!job->queries[i].error)
+				job->queries[i].error = "deadline";
+	}
+	return standin_delay(job->exchange, standin_now_us() + delay);
+}
+
+static enum MHD_Result search_reply(target_t *target, job_t *job)
+{
+	json_t *answers = json_array();
+	json_t *json = report(target);
+	query_t *query;
+	size_t i;
+
+	for (i = 0; i < job->count; i++) {
+		query = &job->queries[i];
+		query_end(target, query);
+		if (!query->canceled)
+			json_array_append_new(answers,
+					      query_answer(target, query));
+	}
+	json_object_set_new(json, "answers", answers);
+	return standin_reply_json(job->exchange, MHD_HTTP_OK, json);
+}
+
+static void note_work(target_t *target)
+{
+	target->last_work = standin_now_us();
+	if (target->behaviour.draining)
+		target->totals.draining_work++;
+}
+
+static enum MHD_Result search_begin(target_t *target,
+				    standin_exchange_t *exchange,
+				    const json_t *json)
+{
+	const json_t *queries = json_object_get(json, "queries");
+	bool waits = false;
+	size_t i;
+	json_t *query;
+	job_t *job;
+
+	job = job_create(target, exchange, json_array_size(queries));
+	if (!job)
+		return MHD_NO;
+	note_work(target);
+	target->totals.search_requests++;
+	json_array_foreach(queries, i, query)
+	{
+		query_begin(target, &job->queries[i], query);
+		waits = waits || !job->queries[i].error;
+	}
+	if (waits && target->behaviour.delay)
+		return job_delay(target, job);
+	return search_reply(target, job);
+}
+
+static enum MHD_Result reply_error(standin_exchange_t *exchange,
+				   unsigned int status, const char *error)
+{
+	return standin_reply_json(exchange, status,
+				  json_pack("{ss}", "error", error));
+}
+
+static enum MHD_Result run_reply(target_t *target, job_t *job)
+{
+	json_t *json;
+
+	query_end(target, &job->queries[0]);
+	if (target->behaviour.drop_run)
+		return MHD_NO;
+	if (target_chance(target, target->behaviour.fail_run_percent))
+		return reply_error(job->exchange,
+				   MHD_HTTP_INTERNAL_SERVER_ERROR, "internal");
+	json = report(target);
+	json_object_set_new(json, "result", json_pack("{ss}", "ran", job->key));
+	return standin_reply_json(job->exchange, MHD_HTTP_OK, json);
+}
+
+static enum MHD_Result run_begin(target_t *target, standin_exchange_t *exchange,
+				 const json_t *json)
+{
+	job_t *job;
+
+	note_work(target);
+	if (target->behaviour.draining)
+		return reply_error(exchange, MHD_HTTP_SERVICE_UNAVAILABLE,
+				   "draining");
+	job = job_create(target, exchange, 1);
+	if (!job)
+		return MHD_NO;
+	job->key = text_copy(json, "key");
+	job->queries[0].request = text_copy(json, "request");
+	if (!admit(target, &job->queries[0]))
+		return reply_error(exchange, MHD_HTTP_SERVICE_UNAVAILABLE,
+				   "shed");
+	target->totals.runs++;
+	counts_add(&target->counts, "run", job->queries[0].request);
+	counts_add(&target->counts, "key", job->key);
+	if (target->behaviour.delay)
+		return job_delay(target, job);
+	return run_reply(target, job);
+}
+
+/* Cancels the query in one job and ends the job's delay if none is left. */
+static void cancel_in_job(target_t *target, job_t *job, const char *request,
+			  json_int_t shard)
+{
+	bool left = false;
+	query_t *query;
+	size_t i;
+
+	for (i = 0; i < job->count; i++) {
+		query = &job->queries[i];
+		if (!query->canceled && query->counted &&
+		    query->shard == shard && !strcmp(query->request, request)) {
+			query->canceled = true;
+			query_end(target, query);
+			target->totals.canceled++;
+		}
+		left = left || !query->canceled;
+	}
+	if (!left)
+		standin_wake(job->exchange);
+}
+
+static enum MHD_Result cancel(target_t *target, standin_exchange_t *exchange,
+			      const json_t *json)
+{
+	json_t *entry;
+	job_t *job;
+	size_t i;
+
+	json_array_foreach(json_object_get(json, "requests"), i, entry)
+	{
+		const char *request =
+			json_string_value(json_object_get(entry, "request"));
+		json_int_t shard =
+			json_integer_value(json_object_get(entry, "shard"));
+
+		if (!request)
+			continue;
+		TAILQ_FOREACH(job, &target->jobs, entry)
+		if (!job->key)
+			cancel_in_job(target, job, request, shard);
+	}
+	return standin_reply(exchange, MHD_HTTP_OK, NULL, "{}", 2);
+}
+
+static enum MHD_Result begin(target_t *target, standin_exchange_t *exchange)
+{
+	enum MHD_Result result;
+	json_t *json;
+
+	json = json_loadb(exchange->body, exchange->size, JSON_DECODE_ANY,
+			  NULL);
+	if (!strcmp(exchange->path, "/report"))
+		result = standin_reply_json(exchange, MHD_HTTP_OK,
+					    report(target));
+	else if (!json)
+		result =
+			reply_error(exchange, MHD_HTTP_BAD_REQUEST, "internal");
+	else if (!strcmp(exchange->path, "/search"))
+		result = search_begin(target, exchange, json);
+	else if (!strcmp(exchange->path, "/run"))
+		result = run_begin(target, exchange, json);
+	else if (!strcmp(exchange->path, "/cancel"))
+		result = cancel(target, exchange, json);
+	else
+		result = reply_error(exchange, MHD_HTTP_NOT_FOUND, "internal");
+	json_decref(json);
+	return result;
+}
+
+static enum MHD_Result serve(target_t *target, standin_exchange_t *exchange)
+{
+	job_t *job = exchange->work;
+
+	if (!strcmp(exchange->path, "/standin"))
+		return target_control(target, exchange);
+	if (target->behaviour.down)
+		return MHD_NO;
+	if (!job)
+		return begin(target, exchange);
+	if (job->key)
+		return run_reply(target, job);
+	return search_reply(target, job);
+}
+
+static enum MHD_Result handle(void *ctx, standin_exchange_t *exchange)
+{
+	target_t *target = ctx;
+	enum MHD_Result result;
+
+	pthread_mutex_lock(&target->lock);
+	result = serve(target, exchange);
+	pthread_mutex_unlock(&target->lock);
+	return result;
+}
+
+static void target_start(target_t *target, uint16_t port)
+{
+	target->behaviour = (behaviour_t){
+		.delay_factor = 1,
+		.report_load = -1,
+		.version = "v1",
+	};
+	pthread_mutex_init(&target->lock, NULL);
+	TAILQ_INIT(&target->jobs);
+	target->snapshots = json_pack("[s]", "s1");
+	/* A request waits at the lock until the target is whole. */
+	pthread_mutex_lock(&target->lock);
+	target->port = standin_serve(port, handle, target);
+	mc_random_seed(&target->random, target->port);
+	target_restart(target);
+	target->last_work = standin_now_us();
+	pthread_mutex_unlock(&target->lock);
+	standin_print_port(target->port);
+}
+
+int main(int argc, char **argv)
+{
+	long port = standin_option(argc, argv, "--port", 0);
+	long count = standin_option(argc, argv, "--count", 1);
+	target_t *targets;
+	long i;
+
+	if (count < 1 || count > TARGETS_MAX)
+		return EXIT_FAILURE;
+	standin_block_signals();
+	standin_start_timers();
+	targets = calloc((size_t)count, sizeof(*targets));
+	if (!targets)
+		return EXIT_FAILURE;
+	for (i = 0; i < count; i++)
+		target_start(&targets[i], (uint16_t)(port ? port + i : 0));
+	standin_wait_end();
+}
