Add the client of the platform's store

Fronts and gathers read, watch and write objects of the platform, and a write whose answer is lost must be told apart from one that certainly did not take effect.

Sending writes over kept connections was ruled out: when one breaks, the HTTP library sends the request again, finds the effect of its own first try, and a write that took effect looks like a conflict. Writes therefore take the net library's "once" and open a connection each. An answer without a version was not taken as success, as the next conditional write could not name what it replaces.

Add the five calls as one table of functions, with calls in progress as records of a table. Each is counted, and each that failed.

--- a/src/store/store.c
+++ b/src/store/store.c
@@ -1,4 +1,339 @@
 /*
- * Stub.
+ * The client of the platform's object store over HTTP. A call in progress is a
+ * record in the client's table and ends exactly once: by its answer, or by the
+ * client's destruction without a call of its handler. Which error a status
+ * means is decided in one place, call_finish().
  */
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
 #include "mc/store.h"
+
+enum {
+	CALLS_MAX = 4096,
+	HEADER_SIZE = 64,
+	/* Most bytes of "http://ADDRESS/objects/" and of a query part. */
+	URL_EXTRA = 192,
+	/* Bytes of a percent-encoded byte. */
+	ENCODED_SIZE = 3,
+	STATUS_OK = 200,
+	STATUS_CREATED = 201,
+	STATUS_NOT_MODIFIED = 304,
+	STATUS_NOT_FOUND = 404,
+	STATUS_PRECONDITION_FAILED = 412,
+	STATUS_SERVER_ERROR = 500,
+};
+
+typedef enum call_kind_t {
+	CALL_READ,
+	CALL_WATCH,
+	CALL_WRITE,
+	CALL_LIST,
+} call_kind_t;
+
+/**
+ * struct call_t - a call in progress
+ * @store: its client
+ * @self: its handle in the client's table
+ * @http: handle of the HTTP request
+ * @kind: what it does
+ * @done: its handler
+ * @ctx: passed to @done
+ */
+typedef struct call_t {
+	mc_store_t *store;
+	mc_handle_t self;
+	mc_handle_t http;
+	call_kind_t kind;
+	mc_store_done_fn_t done;
+	void *ctx;
+} call_t;
+
+struct mc_store_t {
+	mc_shard_t *shard;
+	mc_ms_t timeout;
+	mc_table_t *calls;
+	char address[64];
+};
+
+static bool is_plain(char c)
+{
+	return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') ||
+	       (c >= '0' && c <= '9') || (c && strchr("-._~/", c));
+}
+
+/* Return: the end of the encoded name. */
+static char *encode_name(char *out, const char *name)
+{
+	for (; *name; name++) {
+		if (is_plain(*name)) {
+			*out++ = *name;
+			continue;
+		}
+		snprintf(out, ENCODED_SIZE + 1, "%%%02X", (unsigned char)*name);
+		out += ENCODED_SIZE;
+	}
+	return out;
+}
+
+/* Return: URL of an object, to be freed; NULL without memory. */
+static char *object_url(const mc_store_t *store, const char *name,
+			const char *query)
+{
+	size_t size = strlen(name) * ENCODED_SIZE + URL_EXTRA;
+	char *url = malloc(size);
+	char *end;
+
+	if (!url)
+		return NULL;
+	end = url + snprintf(url, size, "http://%s/objects/", store->address);
+	end = encode_name(end, name);
+	snprintf(end, size - (size_t)(end - url), "%s", query);
+	return url;
+}
+
+/* Reads the version that an answer names; 0 if there is none. */
+static uint64_t parse_version(const char *etag)
+{
+	char *end;
+	uint64_t version = strtoull(etag, &end, 10);
+
+	return *end ? 0 : version;
+}
+
+static void finish_success(const call_t *call,
+			   const mc_http_response_t *response,
+			   mc_store_result_t *result)
+{
+	result->version = parse_version(response->etag);
+	if (!result->version && call->kind != CALL_LIST) {
+		result->err = mc_fail(MC_ERR_STORE_UNAVAILABLE,
+				      "the store's answer has no version");
+		result->maybe = call->kind == CALL_WRITE;
+		return;
+	}
+	result->err = MC_OK;
+	if (call->kind == CALL_WRITE)
+		return;
+	result->data = response->body;
+	result->size = response->body_size;
+}
+
+/* A refusal by a status below 500 is certain; a failure of the store is not. */
+static void finish_failure(const call_t *call,
+			   const mc_http_response_t *response,
+			   mc_store_result_t *result)
+{
+	bool maybe = response->err ? response->sent
+				   : response->status >= STATUS_SERVER_ERROR;
+
+	result->maybe = maybe && call->kind == CALL_WRITE;
+	result->err = mc_fail(MC_ERR_STORE_UNAVAILABLE,
+			      "call to the store failed: %s, status %d",
+			      mc_error_name(response->err), response->status);
+}
+
+static void call_finish(const call_t *call, const mc_http_response_t *response,
+			mc_store_result_t *result)
+{
+	int status = response->err ? 0 : response->status;
+	bool write = call->kind == CALL_WRITE;
+
+	if (status == STATUS_OK || (write && status == STATUS_CREATED))
+		finish_success(call, response, result);
+	else if (status == STATUS_NOT_MODIFIED && call->kind == CALL_WATCH)
+		result->err = MC_ERR_TIMED_OUT;
+	else if (status == STATUS_NOT_FOUND && !write)
+		result->err = MC_ERR_NOT_FOUND;
+	else if (status == STATUS_PRECONDITION_FAILED && write)
+		result->err = MC_ERR_CONFLICT;
+	else
+		finish_failure(call, response, result);
+}
+
+static void on_response(void *ctx, const mc_http_response_t *response)
+{
+	const call_t call = *(call_t *)ctx;
+	mc_store_t *store = call.store;
+	mc_store_result_t result = { .data = "" };
+
+	/* The handler may make calls or destroy the client. */
+	mc_table_remove(store->calls, call.self);
+	call_finish(&call, response, &result);
+	if (result.err == MC_ERR_STORE_UNAVAILABLE)
+		mc_count(mc_shard_counters(store->shard),
+			 MC_COUNTER_STORE_FAILURES, 1);
+	call.done(call.ctx, &result);
+}
+
+static mc_err_t call_start(mc_store_t *store, const call_t *params,
+			   const mc_http_request_t *request)
+{
+	mc_handle_t self;
+	void *record;
+	call_t *call;
+	mc_err_t err;
+
+	err = mc_table_add(store->calls, &self, &record);
+	if (err)
+		return err;
+	call = record;
+	*call = *params;
+	call->store = store;
+	call->self = self;
+	err = mc_http_send(store->shard, request, on_response, call,
+			   &call->http);
+	if (err) {
+		mc_table_remove(store->calls, self);
+		return err;
+	}
+	mc_count(mc_shard_counters(store->shard), MC_COUNTER_STORE_CALLS, 1);
+	return MC_OK;
+}
+
+static mc_err_t http_get(mc_store_t *store, const call_t *params,
+			 const char *url, mc_ms_t timeout)
+{
+	mc_http_request_t request = {
+		.method = "GET",
+		.url = url,
+		.timeout = timeout,
+	};
+
+	return call_start(store, params, &request);
+}
+
+static mc_err_t http_read(mc_store_t *store, const char *name,
+			  mc_store_done_fn_t done, void *ctx)
+{
+	call_t params = { .kind = CALL_READ, .done = done, .ctx = ctx };
+	char *url = object_url(store, name, "");
+	mc_err_t err;
+
+	if (!url)
+		return mc_fail(MC_ERR_NO_MEMORY, "no memory for a URL");
+	err = http_get(store, &params, url, store->timeout);
+	free(url);
+	return err;
+}
+
+static mc_err_t http_watch(mc_store_t *store, const char *name, uint64_t above,
+			   mc_ms_t wait, mc_store_done_fn_t done, void *ctx)
+{
+	call_t params = { .kind = CALL_WATCH, .done = done, .ctx = ctx };
+	char query[HEADER_SIZE];
+	char *url;
+	mc_err_t err;
+
+	snprintf(query, sizeof(query), "?above=%" PRIu64 "&wait_ms=%" PRId64,
+		 above, wait);
+	url = object_url(store, name, query);
+	if (!url)
+		return mc_fail(MC_ERR_NO_MEMORY, "no memory for a URL");
+	err = http_get(store, &params, url, wait + store->timeout);
+	free(url);
+	return err;
+}
+
+/*
+ * A write is sent once: were it sent again after a broken connection, it would
+ * find its own effect and be reported as a conflict.
+ */
+static mc_err_t http_put(mc_store_t *store, const char *name,
+			 const char *condition, const char *data, size_t size,
+			 mc_store_done_fn_t done, void *ctx)
+{
+	call_t params = { .kind = CALL_WRITE, .done = done, .ctx = ctx };
+	mc_http_request_t request = {
+		.method = "PUT",
+		.header_count = 1,
+		.headers = { condition },
+		.body = data,
+		.body_size = size,
+		.timeout = store->timeout,
+		.once = true,
+	};
+	char *url = object_url(store, name, "");
+	mc_err_t err;
+
+	if (!url)
+		return mc_fail(MC_ERR_NO_MEMORY, "no memory for a URL");
+	request.url = url;
+	err = call_start(store, &params, &request);
+	free(url);
+	return err;
+}
+
+static mc_err_t http_create(mc_store_t *store, const char *name,
+			    const char *data, size_t size,
+			    mc_store_done_fn_t done, void *ctx)
+{
+	return http_put(store, name, "If-None-Match: *", data, size, done, ctx);
+}
+
+static mc_err_t http_update(mc_store_t *store, const char *name,
+			    uint64_t expected, const char *data, size_t size,
+			    mc_store_done_fn_t done, void *ctx)
+{
+	char condition[HEADER_SIZE];
+
+	snprintf(condition, sizeof(condition), "If-Match: \"%" PRIu64 "\"",
+		 expected);
+	return http_put(store, name, condition, data, size, done, ctx);
+}
+
+static mc_err_t http_list(mc_store_t *store, mc_store_done_fn_t done, void *ctx)
+{
+	call_t params = { .kind = CALL_LIST, .done = done, .ctx = ctx };
+	char url[URL_EXTRA];
+
+	snprintf(url, sizeof(url), "http://%s/instances", store->address);
+	return http_get(store, &params, url, store->timeout);
+}
+
+const mc_store_api_t *mc_store_http(void)
+{
+	static const mc_store_api_t api = {
+		.read = http_read,
+		.watch = http_watch,
+		.create = http_create,
+		.update = http_update,
+		.list = http_list,
+	};
+
+	return &api;
+}
+
+mc_store_t *mc_store_create(mc_shard_t *shard, const char *address,
+			    mc_ms_t timeout)
+{
+	mc_store_t *store = calloc(1, sizeof(*store));
+
+	if (!store)
+		return NULL;
+	store->shard = shard;
+	store->timeout = timeout;
+	snprintf(store->address, sizeof(store->address), "%s", address);
+	store->calls = mc_table_create(sizeof(call_t), CALLS_MAX);
+	if (!store->calls) {
+		free(store);
+		return NULL;
+	}
+	return store;
+}
+
+void mc_store_destroy(mc_store_t *store)
+{
+	uint32_t cursor = 0;
+	mc_handle_t handle;
+	call_t *call;
+
+	if (!store)
+		return;
+	while ((call = mc_table_next(store->calls, &cursor, &handle)))
+		mc_http_cancel(store->shard, call->http);
+	mc_table_destroy(store->calls);
+	free(store);
+}
