settings: no arithmetic on a buffer of no bytes

Cause: with faults == NULL and no bytes, a zero offset was added to the null pointer; the undefined-behaviour sanitizer stopped unit_settings.

Ruled out: refusing such a buffer, as a caller may want the status alone.

--- a/src/settings/settings.c
+++ b/src/settings/settings.c
@@ -40,17 +40,18 @@
 
 static void add_fault(reader_t *reader, const char *format, ...)
 {
-	char *start = reader->faults + reader->used;
 	size_t room = reader->size - reader->used;
 	va_list args;
+	char *start;
 	int length;
 
 	reader->count++;
+	if (!room)
+		return;
+	start = reader->faults + reader->used;
 	va_start(args, format);
 	length = vsnprintf(start, room, format, args);
 	va_end(args);
-	if (!room)
-		return;
 	if (length < 0 || (size_t)length >= room) {
 		*start = '\0';
 		return;
