Lint fuzz programs with the commands that build them

Cause: the plain build has no commands for tests/fuzz, so the linter took those of another test and did not find the headers of libraries that this one does not name ("'mc/config.h' file not found" in snapshot_fuzz.c).

Ruled out: naming files so that the linter guesses well.

Change: the linter reads the fuzz build's commands for these files.

--- a/Makefile
+++ b/Makefile
@@ -49,7 +49,7 @@
 			-timeout=20 || exit 1; \
 	done
 
-lint: build
+lint: build build-fuzz
 	@sh tools/lint $(BUILD)
 
 format:
