--- a/src/route/choose.c
+++ b/src/route/choose.c
@@ -184,15 +184,17 @@
 			     const mc_row_t *targets, uint32_t count)
 {
 	const mc_config_t *config = router->config;
-	uint32_t i;
+	uint32_t i, left = 0, out = 0;
 
 	for (i = 0; i < count; i++) {
 		mc_row_t row = config->targets[targets[i]].data_center;
 
-		if (!config->data_centers[row].out)
-			break;
+		if (is_excluded(query, targets[i]))
+			continue;
+		left++;
+		out += config->data_centers[row].out;
 	}
-	if (count > 0 && i == count)
+	if (left > 0 && out == left)
 		return mc_fail(MC_ERR_DATA_CENTER_OUT,
 			       "data centres of shard %u are out",
 			       query->shard);
--- a/src/route/include/mc/route.h
+++ b/src/route/include/mc/route.h
@@ -202,7 +202,8 @@
  * (see mc_router_begin()), then the one with the fewest sub-queries out.
  *
  * Return: MC_OK; MC_ERR_NO_TARGET when no replica is left;
- * MC_ERR_DATA_CENTER_OUT when all are in data centres that are out.
+ * MC_ERR_DATA_CENTER_OUT when all that are not excluded are in data centres
+ * that are out.
  */
 mc_err_t mc_router_choose(mc_router_t *router, const mc_route_query_t *query,
 			  mc_random_t *random, mc_route_choice_t *choice);
