--- a/tests/fuzz/answer_fuzz.c
+++ b/tests/fuzz/answer_fuzz.c
@@ -3,10 +3,9 @@
  * that count, namely the first one of each slot that has the slot's snapshot
  * and comes before the answer closes; it sorts and cuts them at the end.
  */
-#include <stdio.h>
-#include <stdlib.h>
 #include <string.h>
 
+#include "fuzz_input.h"
 #include "mc/answer.h"
 
 enum {
@@ -14,13 +13,10 @@
 	MAX_HITS = 15,
 	SNAPSHOTS = 3,
 	ID_SIZE = 8,
+	/* Steps of a case. */
+	STEPS = 60,
 };
 
-typedef struct {
-	const uint8_t *data;
-	size_t size;
-} input_t;
-
 typedef struct {
 	char id[ID_SIZE];
 	double score;
@@ -42,23 +38,7 @@
 
 static const char *const snapshots[SNAPSHOTS] = { "s", "s1", "s10" };
 
-static void require(bool holds, const char *promise)
-{
-	if (holds)
-		return;
-	fprintf(stderr, "broken: %s\n", promise);
-	abort();
-}
-
-static uint32_t next(input_t *input, uint32_t bound)
-{
-	if (!input->size)
-		return 0;
-	input->size--;
-	return *input->data++ % bound;
-}
-
-static void expect_slot(model_t *model, input_t *input)
+static void expect_slot(model_t *model, fuzz_input_t *input)
 {
 	uint32_t at = model->slot_count;
 	uint32_t slot;
@@ -66,15 +46,15 @@
 
 	if (at == MAX_SLOTS)
 		return;
-	model->snapshots[at] = next(input, SNAPSHOTS);
-	model->documents[at] = next(input, 256);
+	model->snapshots[at] = fuzz_below(input, SNAPSHOTS);
+	model->documents[at] = fuzz_below(input, 256);
 	model->reasons[at] = MC_ERR_DEADLINE_EXCEEDED;
 	err = mc_answer_expect(model->answer, snapshots[model->snapshots[at]],
 			       model->documents[at], &slot);
-	require(!err == !model->closed, "slots are added until the close");
+	FUZZ_CHECK(!err == !model->closed, "slots are added until the close");
 	if (err)
 		return;
-	require(slot == at, "slots are counted from 0");
+	FUZZ_CHECK(slot == at, "slots are counted from 0");
 	model->slot_count++;
 }
 
@@ -91,11 +71,11 @@
 						  : MC_MERGE_WRONG_SNAPSHOT;
 }
 
-static void merge_result(model_t *model, input_t *input)
+static void merge_result(model_t *model, fuzz_input_t *input)
 {
-	uint32_t slot = next(input, model->slot_count + 1);
-	uint32_t snapshot = next(input, 2 * SNAPSHOTS);
-	uint32_t count = next(input, MAX_HITS + 1);
+	uint32_t slot = fuzz_below(input, model->slot_count + 1);
+	uint32_t snapshot = fuzz_below(input, 2 * SNAPSHOTS);
+	uint32_t count = fuzz_below(input, MAX_HITS + 1);
 	mc_merge_t expected;
 	kept_t results[MAX_HITS];
 	mc_hit_t hits[MAX_HITS];
@@ -108,15 +88,15 @@
 	for (i = 0; i < count; i++) {
 		kept_t *result = &results[i];
 
-		snprintf(result->id, ID_SIZE, "d%u", next(input, 12));
-		result->score = next(input, 16) / 4.0 - 1;
+		snprintf(result->id, ID_SIZE, "d%u", fuzz_below(input, 12));
+		result->score = fuzz_below(input, 16) / 4.0 - 1;
 		result->slot = slot;
 		hits[i] =
 			(mc_hit_t){ .id = result->id, .score = result->score };
 	}
-	require(mc_answer_merge(model->answer, slot, snapshots[snapshot], hits,
-				count) == expected,
-		"a slot's first right result counts, and no other");
+	FUZZ_CHECK(mc_answer_merge(model->answer, slot, snapshots[snapshot],
+				   hits, count) == expected,
+		   "a slot's first right result counts, and no other");
 	if (expected != MC_MERGE_TAKEN)
 		return;
 	model->has[slot] = true;
@@ -124,10 +104,10 @@
 		model->kept[model->kept_count++] = results[i];
 }
 
-static void miss_slot(model_t *model, input_t *input)
+static void miss_slot(model_t *model, fuzz_input_t *input)
 {
-	uint32_t slot = next(input, MAX_SLOTS);
-	mc_err_t reason = (mc_err_t)(1 + next(input, MC_ERR_COUNT - 1));
+	uint32_t slot = fuzz_below(input, MAX_SLOTS);
+	mc_err_t reason = (mc_err_t)(1 + fuzz_below(input, MC_ERR_COUNT - 1));
 
 	mc_answer_miss(model->answer, slot, reason);
 	if (!model->closed && slot < model->slot_count)
@@ -155,12 +135,12 @@
 	      compare_kept);
 	if (expected > model->limit)
 		expected = model->limit;
-	require(count == expected, "as many hits as the limit allows");
+	FUZZ_CHECK(count == expected, "as many hits as the limit allows");
 	for (i = 0; i < count; i++)
-		require(!strcmp(hits[i].id, model->kept[i].id) &&
-				hits[i].score == model->kept[i].score &&
-				hits[i].slot == model->kept[i].slot,
-			"the best hits of all results, in order");
+		FUZZ_CHECK(!strcmp(hits[i].id, model->kept[i].id) &&
+				   hits[i].score == model->kept[i].score &&
+				   hits[i].slot == model->kept[i].slot,
+			   "the best hits of all results, in order");
 }
 
 static void check_answer(const model_t *model)
@@ -174,33 +154,34 @@
 		expected.shards_answered += model->has[i];
 		if (model->has[i])
 			expected.documents_answered += model->documents[i];
-		require(mc_answer_has(model->answer, i) == model->has[i],
-			"a slot has a result once it was merged");
-		require(mc_answer_reason(model->answer, i) ==
-				(model->has[i] ? MC_OK : model->reasons[i]),
-			"a missing slot has its last reason");
+		FUZZ_CHECK(mc_answer_has(model->answer, i) == model->has[i],
+			   "a slot has a result once it was merged");
+		FUZZ_CHECK(mc_answer_reason(model->answer, i) ==
+				   (model->has[i] ? MC_OK : model->reasons[i]),
+			   "a missing slot has its last reason");
 	}
-	require(coverage.shards_answered == expected.shards_answered &&
-			coverage.shards_total == expected.shards_total &&
-			coverage.documents_answered ==
-				expected.documents_answered &&
-			coverage.documents_total == expected.documents_total,
-		"coverage counts the slots whose result was merged");
-	require(mc_answer_complete(model->answer) ==
-			(expected.shards_answered == model->slot_count),
-		"an answer is complete with all its slots");
+	FUZZ_CHECK(coverage.shards_answered == expected.shards_answered &&
+			   coverage.shards_total == expected.shards_total &&
+			   coverage.documents_answered ==
+				   expected.documents_answered &&
+			   coverage.documents_total == expected.documents_total,
+		   "coverage counts the slots whose result was merged");
+	FUZZ_CHECK(mc_answer_complete(model->answer) ==
+			   (expected.shards_answered == model->slot_count),
+		   "an answer is complete with all its slots");
 }
 
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
 {
-	input_t input = { .data = data, .size = size };
-	model_t model = { .limit = next(&input, 12) };
+	fuzz_input_t input = fuzz_begin(data, size);
+	model_t model = { .limit = fuzz_below(&input, 12) };
+	int step;
 
 	model.answer = mc_answer_create(model.limit);
 	expect_slot(&model, &input);
 	expect_slot(&model, &input);
-	while (input.size) {
-		switch (next(&input, 8)) {
+	for (step = 0; step < STEPS; step++) {
+		switch (fuzz_below(&input, 8)) {
 		case 0:
 		case 1:
 			expect_slot(&model, &input);
@@ -210,7 +191,7 @@
 			break;
 		case 3:
 			/* Rare, so that most answers grow before they close. */
-			if (next(&input, 8) == 0)
+			if (fuzz_below(&input, 8) == 0)
 				close_answer(&model);
 			break;
 		default:
--- a/tests/fuzz/snapshot_fuzz.c
+++ b/tests/fuzz/snapshot_fuzz.c
@@ -7,6 +7,7 @@
 #include <stdint.h>
 
 #include "../config_text.h"
+#include "fuzz_input.h"
 #include "mc/snapshot.h"
 
 enum {
@@ -17,14 +18,11 @@
 	MAX_REPLICAS = 3,
 	MAX_SNAPSHOTS = 5,
 	IDS = 7,
+	/* Steps of a case. */
+	STEPS = 16,
 	MAX_TARGETS = SERVICES * LAYOUTS * MAX_SHARDS * MAX_REPLICAS,
 };
 
-typedef struct {
-	const uint8_t *data;
-	size_t size;
-} input_t;
-
 typedef struct {
 	const mc_config_t *config;
 	mc_catalogue_t *catalogue;
@@ -42,22 +40,6 @@
 
 static const mc_config_t *configs[CONFIGS];
 
-static void require(bool holds, const char *promise)
-{
-	if (holds)
-		return;
-	fprintf(stderr, "broken: %s\n", promise);
-	abort();
-}
-
-static uint32_t next(input_t *input, uint32_t bound)
-{
-	if (!input->size)
-		return 0;
-	input->size--;
-	return *input->data++ % bound;
-}
-
 static void add_layout(config_text_t *text, int service, int layout,
 		       mc_random_t *random, uint32_t *addresses)
 {
@@ -212,13 +194,13 @@
 	}
 }
 
-static void report(model_t *model, input_t *input)
+static void report(model_t *model, fuzz_input_t *input)
 {
 	static const char *const all[IDS + 1] = { "i0", "i1", "i2", "i3",
 						  "i4", "i5", "i6", "x" };
 	const mc_config_t *config = model->config;
-	mc_row_t target = next(input, config->target_count);
-	uint32_t mask = next(input, 256);
+	mc_row_t target = fuzz_below(input, config->target_count);
+	uint32_t mask = fuzz_below(input, 256);
 	const char *ids[IDS + 1];
 	bool changed = false;
 	uint32_t i, count = 0;
@@ -235,9 +217,9 @@
 		model->serves[target][i] = serves;
 	}
 	model->reported[target] = true;
-	require(mc_catalogue_report(model->catalogue, target, ids, count) ==
-			changed,
-		"a report says whether the set changed");
+	FUZZ_CHECK(mc_catalogue_report(model->catalogue, target, ids, count) ==
+			   changed,
+		   "a report says whether the set changed");
 }
 
 static bool is_usable(void *ctx, mc_row_t target)
@@ -306,9 +288,10 @@
 		best_reach = reach;
 	}
 	err = mc_catalogue_pin(model->catalogue, service, &usable, &pinned);
-	require(err == (best == MC_ROW_NONE ? MC_ERR_NO_SNAPSHOT : MC_OK),
-		"a snapshot is pinned if a shard of any is served");
-	require(err || pinned == best,
+	FUZZ_CHECK(err == (best == MC_ROW_NONE ? MC_ERR_NO_SNAPSHOT : MC_OK),
+		   "a snapshot is pinned if a shard of any is served");
+	FUZZ_CHECK(
+		err || pinned == best,
 		"the newest whole snapshot is pinned, else the largest share");
 }
 
@@ -319,7 +302,8 @@
 
 	for (i = 0; i < config->target_count; i++)
 		for (j = 0; j < config->snapshot_count; j++)
-			require(mc_catalogue_serves(model->catalogue, i, j) ==
+			FUZZ_CHECK(
+				mc_catalogue_serves(model->catalogue, i, j) ==
 					model->serves[i][j],
 				"a target serves what it last reported");
 	for (i = 0; i < config->service_count; i++)
@@ -328,25 +312,27 @@
 
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
 {
-	input_t input = { .data = data, .size = size };
+	fuzz_input_t input = fuzz_begin(data, size);
 	model_t model = { 0 };
 	mc_row_t target;
+	int step;
 
 	memset(model.usable, true, sizeof(model.usable));
-	change_config(&model, configs[next(&input, CONFIGS)]);
-	while (input.size) {
-		switch (next(&input, 8)) {
+	change_config(&model, configs[fuzz_below(&input, CONFIGS)]);
+	for (step = 0; step < STEPS; step++) {
+		switch (fuzz_below(&input, 8)) {
 		case 0:
-			change_config(&model, configs[next(&input, CONFIGS)]);
+			change_config(&model,
+				      configs[fuzz_below(&input, CONFIGS)]);
 			break;
 		case 1:
-			target = next(&input, model.config->target_count);
+			target = fuzz_below(&input, model.config->target_count);
 			mc_catalogue_forget(model.catalogue, target);
 			forget(&model, target);
 			break;
 		case 2:
 		case 3:
-			target = next(&input, model.config->target_count);
+			target = fuzz_below(&input, model.config->target_count);
 			model.usable[target] = !model.usable[target];
 			break;
 		default:
