route: take equal owners at random

Cause: with nothing in flight every instance took a target's first owner in rendezvous order, which is the same everywhere.

Ruled out: an order of owners that each instance permutes by itself, as it would have to be stored for each target.

Change: the search for an owner starts at a random one.

Proof: test_owners_share_idle_load fails when the search starts at the first owner.

--- a/src/route/choose.c
+++ b/src/route/choose.c
@@ -160,20 +160,27 @@
 	return first->gather.in_flight < second->gather.in_flight;
 }
 
-/* The target has a usable owner. */
-static uint32_t choose_gather(mc_router_t *router, mc_row_t target)
+/*
+ * The target has a usable owner. Equal ones are taken at random, as the order
+ * of owners is the same on every instance.
+ */
+static uint32_t choose_gather(mc_router_t *router, mc_row_t target,
+			      mc_random_t *random)
 {
 	const uint32_t *owners =
 		&router->owners[(size_t)target * router->owners_max];
+	uint32_t count = router->targets[target].owner_count;
+	uint32_t first = mc_random_below(random, count);
 	uint32_t best = UINT32_MAX;
 	uint32_t i;
 
-	for (i = 0; i < router->targets[target].owner_count; i++) {
-		if (!router->gathers[owners[i]].gather.usable)
+	for (i = 0; i < count; i++) {
+		uint32_t owner = owners[(first + i) % count];
+
+		if (!router->gathers[owner].gather.usable)
 			continue;
-		if (best == UINT32_MAX ||
-		    is_better_gather(router, owners[i], best))
-			best = owners[i];
+		if (best == UINT32_MAX || is_better_gather(router, owner, best))
+			best = owner;
 	}
 	router->gathers[best].request = router->request;
 	return best;
@@ -220,6 +227,6 @@
 	chosen = router->policy->choose(router->candidates, found,
 					query->request_hash, random);
 	choice->target = take_candidate(router, found, chosen);
-	choice->gather = choose_gather(router, choice->target);
+	choice->gather = choose_gather(router, choice->target, random);
 	return MC_OK;
 }
--- a/src/route/include/mc/route.h
+++ b/src/route/include/mc/route.h
@@ -199,7 +199,8 @@
  *
  * Prefers replicas in the own data centre while they are usable. Among a
  * target's usable owners it prefers a gather that this request uses already
- * (see mc_router_begin()), then the one with the fewest sub-queries out.
+ * (see mc_router_begin()), then the one with the fewest sub-queries out, then
+ * one at random.
  *
  * Return: MC_OK; MC_ERR_NO_TARGET when no replica is left;
  * MC_ERR_DATA_CENTER_OUT when all that are not excluded are in data centres
--- a/tests/unit/route_test.c
+++ b/tests/unit/route_test.c
@@ -107,6 +107,38 @@
 		assert_in_range(counts[i], 650, 950);
 }
 
+/*
+ * The order of owners is the same on every instance, so instances without load
+ * of their own must not all use a target's first owner.
+ */
+static void test_owners_share_idle_load(void **state)
+{
+	const mc_config_t *config = square_config("in");
+	mc_router_t *router = make_router(config, "hash", NULL);
+	uint32_t counts[GATHERS] = { 0 };
+	mc_route_query_t query = { .request_hash = 1 };
+	mc_route_choice_t choice;
+	uint32_t i, used = 0;
+
+	(void)state;
+	for (i = 0; i < REQUESTS; i++) {
+		mc_router_begin(router);
+		assert_int_equal(choose(router, &query, &choice), MC_OK);
+		counts[choice.gather]++;
+	}
+	for (i = 0; i < GATHERS; i++) {
+		if (!counts[i])
+			continue;
+		used++;
+		/* Five standard deviations round a half. */
+		assert_in_range(counts[i], REQUESTS / 2 - 354,
+				REQUESTS / 2 + 354);
+	}
+	assert_int_equal(used, 2);
+	mc_router_destroy(router);
+	mc_config_unref(config);
+}
+
 static void test_local_first_then_remote(void **state)
 {
 	const mc_config_t *config = square_config("in");
@@ -381,6 +413,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_owners_share_targets),
+		cmocka_unit_test(test_owners_share_idle_load),
 		cmocka_unit_test(test_local_first_then_remote),
 		cmocka_unit_test(test_failed_until_nothing_else),
 		cmocka_unit_test(test_data_center_out),
