Limit the work for each target and admit requests by class

Cause: a target must never get more than it bears, least of all in its cold start, and a front must refuse early by class. Ruled out: a share of used slots measured when a sub-query ends. Sub-queries of one batch end together, so only the first of them counted and the concurrency rose by 0.25 per round trip where 1 was meant (unit_limit failed); the use is noted when one is taken instead. Change: policies "adaptive", "fixed" and "none" in a table; shares dealt out by rank, with a handover before a larger one counts; a ramp that rises by at most one with an answer; a rank without a slot, which sees no answers, rises with time until it has one.

--- a/src/limit/limit.c
+++ /dev/null
@@ -1,4 +0,0 @@
-/*
- * Stub.
- */
-#include "mc/limit.h"
--- /dev/null
+++ b/tests/unit/limit_test.c
@@ -0,0 +1,246 @@
+/*
+ * Unit tests of the limit library.
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <cmocka.h>
+
+#include "mc/limit.h"
+
+static const mc_limit_params_t params = {
+	.initial = 16,
+	.max = 64,
+	.ramp = true,
+	.ramp_min = 1500,
+	.handover = 1000,
+};
+
+static mc_limiter_t *create(const char *policy, bool ramp)
+{
+	mc_limit_params_t changed = params;
+
+	changed.ramp = ramp;
+	return mc_limit_policy(policy)->create(&changed, 0);
+}
+
+/* A limiter of the only owner whose handover is over at time 1000. */
+static mc_limiter_t *create_owned(const char *policy, bool ramp)
+{
+	mc_limiter_t *limiter = create(policy, ramp);
+
+	mc_limiter_owners(limiter, 0, 1, 0);
+	return limiter;
+}
+
+/* Uses the whole share for one round trip. */
+static void round_trip(mc_limiter_t *limiter, mc_limit_outcome_t outcome,
+		       mc_ms_t latency, mc_ms_t *now)
+{
+	uint32_t count = 0;
+
+	while (mc_limiter_take(limiter, *now))
+		count++;
+	*now += latency;
+	while (count--)
+		mc_limiter_give(limiter, outcome, latency, *now);
+}
+
+static void test_shares(void **state)
+{
+	static const uint32_t expected[] = { 6, 5, 5 };
+	uint32_t rank;
+
+	(void)state;
+	for (rank = 0; rank < 3; rank++) {
+		mc_limiter_t *limiter = create("fixed", false);
+
+		mc_limiter_owners(limiter, rank, 3, 0);
+		assert_int_equal(mc_limiter_share(limiter, 999), 0);
+		assert_int_equal(mc_limiter_share(limiter, 1000),
+				 expected[rank]);
+		/* A smaller share counts at once, a larger one later. */
+		mc_limiter_owners(limiter, rank, 16, 2000);
+		assert_int_equal(mc_limiter_share(limiter, 2000), 1);
+		mc_limiter_owners(limiter, rank, 3, 2001);
+		assert_int_equal(mc_limiter_share(limiter, 3000), 1);
+		assert_int_equal(mc_limiter_share(limiter, 3001),
+				 expected[rank]);
+		mc_limiter_owners(limiter, 0, 0, 4000);
+		assert_int_equal(mc_limiter_share(limiter, 4000), 0);
+		mc_limiter_destroy(limiter);
+	}
+}
+
+static void test_ramp(void **state)
+{
+	mc_limiter_t *limiter = create_owned("adaptive", true);
+	mc_ms_t now = 1000;
+
+	(void)state;
+	assert_true(mc_limiter_ramping(limiter));
+	assert_int_equal(mc_limiter_share(limiter, now), 1);
+	assert_false(mc_limiter_started(limiter, 7, now));
+	/* Time alone raises nothing, and one answer at most by one. */
+	now = 100000;
+	assert_int_equal(mc_limiter_share(limiter, now), 1);
+	round_trip(limiter, MC_LIMIT_ANSWERED, 10, &now);
+	assert_int_equal(mc_limiter_whole(limiter), 2);
+	while (mc_limiter_ramping(limiter))
+		round_trip(limiter, MC_LIMIT_ANSWERED, 10, &now);
+	assert_true(now >= 100000 + 1400);
+	assert_int_equal(mc_limiter_share(limiter, now), 16);
+	assert_false(mc_limiter_started(limiter, 7, now));
+	assert_true(mc_limiter_started(limiter, 8, now));
+	assert_int_equal(mc_limiter_share(limiter, now), 1);
+	/* A late reply of the former process changes nothing. */
+	assert_false(mc_limiter_started(limiter, 7, now));
+	mc_limiter_destroy(limiter);
+}
+
+static void test_adaptive(void **state)
+{
+	mc_limiter_t *limiter = create_owned("adaptive", false);
+	mc_ms_t now = 1000;
+	uint32_t whole;
+	int i;
+
+	(void)state;
+	for (i = 0; i < 4; i++)
+		round_trip(limiter, MC_LIMIT_ANSWERED, 10, &now);
+	whole = mc_limiter_whole(limiter);
+	assert_in_range(whole, 18, 20);
+	/* A round trip of sheds lowers it once. */
+	round_trip(limiter, MC_LIMIT_SHED, 5, &now);
+	assert_in_range(mc_limiter_whole(limiter), whole / 2 + 1, whole - 1);
+	for (i = 0; i < 50; i++)
+		round_trip(limiter, MC_LIMIT_SHED, 5, &now);
+	assert_int_equal(mc_limiter_whole(limiter), 1);
+	for (i = 0; i < 200; i++)
+		round_trip(limiter, MC_LIMIT_ANSWERED, 10, &now);
+	assert_int_equal(mc_limiter_whole(limiter), 64);
+	for (i = 0; i < 40; i++)
+		round_trip(limiter, MC_LIMIT_ANSWERED, 100, &now);
+	assert_in_range(mc_limiter_whole(limiter), 1, 16);
+	mc_limiter_destroy(limiter);
+}
+
+static void test_cold_without_warning(void **state)
+{
+	mc_limiter_t *limiter = create_owned("adaptive", true);
+	bool ramp = false;
+	mc_ms_t now = 1000;
+	int i;
+
+	(void)state;
+	while (mc_limiter_ramping(limiter))
+		round_trip(limiter, MC_LIMIT_ANSWERED, 10, &now);
+	for (i = 0; i < 16; i++)
+		assert_true(mc_limiter_take(limiter, now));
+	now += 200;
+	for (i = 0; i < 16 && !ramp; i++)
+		ramp = mc_limiter_give(
+			limiter, i < 8 ? MC_LIMIT_ANSWERED : MC_LIMIT_SHED, 200,
+			now);
+	assert_true(ramp);
+	assert_true(mc_limiter_ramping(limiter));
+	assert_int_equal(mc_limiter_share(limiter, now), 1);
+	mc_limiter_destroy(limiter);
+}
+
+static void test_rank_without_slot(void **state)
+{
+	mc_limiter_t *limiter = create("adaptive", true);
+
+	(void)state;
+	mc_limiter_owners(limiter, 3, 8, 0);
+	/* The ramp's pace is 1 in 100 ms, and half of it without a slot. */
+	assert_int_equal(mc_limiter_share(limiter, 599), 0);
+	assert_int_equal(mc_limiter_share(limiter, 1000), 1);
+	assert_int_equal(mc_limiter_share(limiter, 100000), 1);
+	mc_limiter_destroy(limiter);
+}
+
+static void test_hint(void **state)
+{
+	mc_limiter_t *limiter = create_owned("adaptive", false);
+
+	(void)state;
+	mc_limiter_hint(limiter, 0, 1000);
+	assert_int_equal(mc_limiter_share(limiter, 1000), 16);
+	mc_limiter_hint(limiter, 1, 1000);
+	assert_int_equal(mc_limiter_share(limiter, 1000), 8);
+	mc_limiter_hint(limiter, -5, 1000);
+	assert_int_equal(mc_limiter_share(limiter, 1000), 8);
+	assert_int_equal(mc_limiter_share(limiter, 6000), 16);
+	mc_limiter_destroy(limiter);
+	limiter = create("none", false);
+	assert_true(mc_limiter_take(limiter, 0));
+	mc_limiter_destroy(limiter);
+	assert_null(mc_limit_policy("other"));
+}
+
+static void test_admission(void **state)
+{
+	mc_admission_t *admission = mc_admission_create(&(
+		mc_admission_params_t){
+		.policy = "class", .concurrency = 16, .min_concurrency = 4 });
+	mc_ms_t retry;
+	int i;
+
+	(void)state;
+	for (i = 0; i < 8; i++)
+		assert_int_equal(mc_admission_enter(admission, MC_CLASS_REPORT,
+						    100, 0, &retry),
+				 MC_OK);
+	assert_int_equal(
+		mc_admission_enter(admission, MC_CLASS_REPORT, 100, 0, &retry),
+		MC_ERR_OVERLOADED);
+	assert_true(retry > 0);
+	for (i = 0; i < 16; i++)
+		assert_int_equal(mc_admission_enter(admission, MC_CLASS_URGENT,
+						    100, 0, &retry),
+				 MC_OK);
+	assert_int_equal(
+		mc_admission_enter(admission, MC_CLASS_URGENT, 100, 0, &retry),
+		MC_ERR_OVERLOADED);
+	for (i = 0; i < 16; i++)
+		mc_admission_leave(admission, MC_CLASS_URGENT, 80, true,
+				   100 * i + 100);
+	assert_int_equal(mc_admission_concurrency(admission), 4);
+	/* Urgent requests take 80 ms now; the first one may try. */
+	assert_int_equal(
+		mc_admission_enter(admission, MC_CLASS_URGENT, 50, 0, &retry),
+		MC_OK);
+	assert_int_equal(
+		mc_admission_enter(admission, MC_CLASS_URGENT, 50, 0, &retry),
+		MC_ERR_DEADLINE_PAST);
+	assert_int_equal(mc_admission_in(admission, MC_CLASS_URGENT), 1);
+	mc_admission_destroy(admission);
+}
+
+static void test_class_names(void **state)
+{
+	mc_class_t klass;
+
+	(void)state;
+	assert_int_equal(mc_class_from_name("report", &klass), MC_OK);
+	assert_string_equal(mc_class_name(klass), "report");
+	assert_int_equal(mc_class_from_name("vip", &klass), MC_ERR_BAD_REQUEST);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_shares),
+		cmocka_unit_test(test_ramp),
+		cmocka_unit_test(test_adaptive),
+		cmocka_unit_test(test_cold_without_warning),
+		cmocka_unit_test(test_rank_without_slot),
+		cmocka_unit_test(test_hint),
+		cmocka_unit_test(test_admission),
+		cmocka_unit_test(test_class_names),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
