--- a/src/limit/adaptive.c
+++ b/src/limit/adaptive.c
@@ -144,8 +144,8 @@
 	adaptive->former_id = first ? start_id : adaptive->start_id;
 	adaptive->start_id = start_id;
 	adaptive->start_known = true;
-	/* A limiter ramps from its creation on: the first id adds nothing. */
-	if (!limiter->params.ramp || (first && limiter->ramping))
+	/* The first id as well: it may have started since the own ramp. */
+	if (!limiter->params.ramp)
 		return false;
 	begin_ramp(adaptive, now);
 	return true;
--- a/src/limit/admission.c
+++ b/src/limit/admission.c
@@ -78,8 +78,6 @@
 {
 	const mc_quantile_t *latency = &admission->latency[klass];
 
-	if (klass == MC_CLASS_URGENT && !admission->in[klass])
-		return MC_OK;
 	if (in_up_to(admission, klass) >= bound(admission, klass))
 		return mc_fail(MC_ERR_OVERLOADED, "no room for class %s",
 			       mc_class_name(klass));
--- a/src/limit/include/mc/limit.h
+++ b/src/limit/include/mc/limit.h
@@ -69,7 +69,10 @@
 /**
  * mc_limiter_started() - the target named its start id
  *
- * Another id than before means that the target is cold: the ramp restarts.
+ * Another id than before means that the target is cold: the ramp restarts. So
+ * does the first id after creation or after this instance became an owner
+ * anew, as the target may have started since. The id before the present one
+ * comes from late replies and is ignored.
  *
  * Return: true when a ramp began.
  */
@@ -127,8 +130,10 @@
 /**
  * struct mc_admission_params_t - parameters of admission
  * @policy: "class" or "none"
- * @concurrency: most requests at a time; a class may use the whole, the
- *	interactive one 7/8 and reports 1/2 of what adapts below it
+ * @concurrency: most requests of a class and of more urgent ones at a time:
+ *	the urgent class may use the whole, the interactive one 7/8 and reports
+ *	1/2 of what adapts below it. Less urgent ones that are in don't count
+ *	against a class, so that altogether fewer than twice as many are in.
  * @min_concurrency: the adaptive concurrency never falls below this
  */
 typedef struct mc_admission_params_t {
@@ -139,7 +144,10 @@
 
 typedef struct mc_admission_t mc_admission_t;
 
-/** mc_admission_create() - owned by the caller; NULL without memory */
+/**
+ * mc_admission_create() - owned by the caller; NULL without memory or for an
+ * unknown policy
+ */
 mc_admission_t *mc_admission_create(const mc_admission_params_t *params);
 
 /** mc_admission_destroy() - free; NULL is allowed */
@@ -154,7 +162,8 @@
  * @retry_after: receives when to try again if refused, ms
  *
  * Refuses when the class has no room, or when the time left is less than what
- * requests of the class take now, so that it could only fail late.
+ * requests of the class take now, so that it could only fail late. A class of
+ * which none is in has room for one if more urgent ones leave it.
  *
  * Return: MC_OK and one more request in, MC_ERR_OVERLOADED or
  * MC_ERR_DEADLINE_PAST.
