Let a target bear more than its initial concurrency in fuzz_limit

Cause: the most was always the initial concurrency, so the steady rise above it was only seen at its bound. Change: in half of the cases the most is 8 above. The check first failed with an initial concurrency of 1 and a ramp (2 at the target 781 ms after its start): allowed, since a ramp from 1 to 1 has no length and the steady rise follows; the oracle says so now and is as strict elsewhere. Admission's policy "none" has a unit test. The header's bound on all that may be in is 19/8 of the concurrency (1/2 + 7/8 + 1), not twice.

--- a/src/limit/include/mc/limit.h
+++ b/src/limit/include/mc/limit.h
@@ -133,7 +133,7 @@
  * @concurrency: most requests of a class and of more urgent ones at a time:
  *	the urgent class may use the whole, the interactive one 7/8 and reports
  *	1/2 of what adapts below it. Less urgent ones that are in don't count
- *	against a class, so that altogether fewer than twice as many are in.
+ *	against a class, so that up to 19/8 of it may be in altogether.
  * @min_concurrency: the adaptive concurrency never falls below this
  */
 typedef struct mc_admission_params_t {
--- a/tests/fuzz/limit_fuzz.c
+++ b/tests/fuzz/limit_fuzz.c
@@ -47,6 +47,7 @@
 typedef struct {
 	fuzz_input_t input;
 	const mc_limit_policy_t *policy;
+	bool adaptive;
 	mc_limit_params_t params;
 	bool calm;
 	mc_ms_t now;
@@ -65,7 +66,11 @@
 	const mc_limit_params_t *params = &world->params;
 	mc_ms_t elapsed = world->now - world->started;
 
-	if (!params->ramp || elapsed >= params->ramp_min)
+	if (!world->adaptive)
+		return params->initial;
+	/* A ramp from 1 to 1 has no length. */
+	if (!params->ramp || elapsed >= params->ramp_min ||
+	    params->initial == 1)
 		return params->max;
 	return 1 +
 	       (uint32_t)((params->initial - 1) * elapsed / params->ramp_min);
@@ -228,7 +233,9 @@
 
 	for (i = 0; i < OWNERS; i++)
 		sum += mc_limiter_share(world->owners[i].limiter, world->now);
-	FUZZ_CHECK(sum <= world->params.max, "shares add up to the whole");
+	FUZZ_CHECK(sum <= (world->adaptive ? world->params.max
+					   : world->params.initial),
+		   "shares add up to the whole");
 	if (world->views[world->view_count - 1].members &&
 	    world->now >= world->unsettled_until)
 		FUZZ_CHECK(sum, "a target with owners gets at least one");
@@ -269,15 +276,15 @@
 
 static void init(world_t *world)
 {
-	bool adaptive = fuzz_below(&world->input, 4);
 	uint32_t initial = 1 + fuzz_below(&world->input, 12);
 	uint32_t i;
 
-	world->policy = mc_limit_policy(adaptive ? "adaptive" : "fixed");
+	world->adaptive = fuzz_below(&world->input, 4);
+	world->policy = mc_limit_policy(world->adaptive ? "adaptive" : "fixed");
 	world->params = (mc_limit_params_t){
 		.initial = initial,
-		.max = initial,
-		.ramp = adaptive && fuzz_below(&world->input, 2),
+		.max = initial + fuzz_below(&world->input, 2) * 8,
+		.ramp = world->adaptive && fuzz_below(&world->input, 2),
 		.ramp_min = RAMP_MIN_MS,
 		.handover = QUERY_LIFE_MS + VIEW_LAG_MS,
 	};
--- a/tests/unit/limit_test.c
+++ b/tests/unit/limit_test.c
@@ -222,6 +222,23 @@
 	mc_admission_destroy(admission);
 }
 
+static void test_admission_none(void **state)
+{
+	mc_admission_params_t none = { .policy = "none", .concurrency = 1 };
+	mc_admission_t *admission = mc_admission_create(&none);
+	mc_ms_t retry;
+	int i;
+
+	(void)state;
+	for (i = 0; i < 5; i++)
+		assert_int_equal(mc_admission_enter(admission, MC_CLASS_REPORT,
+						    1, 0, &retry),
+				 MC_OK);
+	mc_admission_destroy(admission);
+	none.policy = "other";
+	assert_null(mc_admission_create(&none));
+}
+
 static void test_class_names(void **state)
 {
 	mc_class_t klass;
@@ -242,6 +259,7 @@
 		cmocka_unit_test(test_rank_without_slot),
 		cmocka_unit_test(test_hint),
 		cmocka_unit_test(test_admission),
+		cmocka_unit_test(test_admission_none),
 		cmocka_unit_test(test_class_names),
 	};
 
