Add a harness for system tests, and tests of searches and runs

The promises of the system have to be seen on real processes: a gather that is killed, a store that loses an answer, a front that is stopped.

Ports that are bound to 127.0.0.1 ahead of time were ruled out for instances, as an outgoing connection may take one before its process listens. Each instance has a loopback IP number of its own instead, which is also how the platform's list names it. Shell scripts were ruled out as they leave processes behind when a test ends early.

The tests of searches and runs compile; they were not run, as the program that they start is not in the tree yet, and they are registered only once it is.

--- /dev/null
+++ b/tests/system/cluster.c
@@ -0,0 +1,371 @@
+/*
+ * Starts an installation: the platform first, then targets and instances, then
+ * the configuration.
+ */
+#include <setjmp.h>
+#include <signal.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <cmocka.h>
+
+#include "cluster.h"
+
+#ifndef MANGOCOVE
+#define MANGOCOVE "mangocove"
+#endif
+
+#define CONFIG_PATH "/objects/mangocove/config"
+
+enum {
+	PATH_SIZE = 512,
+	NAME_SIZE = 64,
+	HEADER_SIZE = 64,
+	DEADLINE_MS = 1000,
+};
+
+cluster_t *cluster_create(const cluster_params_t *params)
+{
+	cluster_t *cluster = calloc(1, sizeof(*cluster));
+
+	if (!cluster)
+		return NULL;
+	cluster->params = *params;
+	cluster->harness = harness_create(params->name);
+	if (!cluster->harness) {
+		free(cluster);
+		return NULL;
+	}
+	return cluster;
+}
+
+void cluster_destroy(cluster_t *cluster)
+{
+	harness_destroy(cluster->harness);
+	free(cluster);
+}
+
+static void start_platform(cluster_t *cluster)
+{
+	const char *argv[] = { STANDIN_PLATFORM, NULL };
+
+	cluster->platform = harness_start(cluster->harness, "platform", argv);
+	snprintf(cluster->platform_address, sizeof(cluster->platform_address),
+		 "127.0.0.1:%u",
+		 harness_read_port(cluster->harness, cluster->platform));
+}
+
+static void start_targets(cluster_t *cluster)
+{
+	const cluster_params_t *params = &cluster->params;
+	const char *argv[] = { STANDIN_TARGET, NULL };
+	cluster_target_t *target;
+	char name[NAME_SIZE];
+	uint32_t i;
+
+	cluster->target_count = params->data_centers * params->shards;
+	assert_in_range(cluster->target_count, 1, CLUSTER_TARGETS_MAX);
+	for (i = 0; i < cluster->target_count; i++) {
+		target = &cluster->targets[i];
+		target->data_center = i / params->shards;
+		target->shard = i % params->shards;
+		snprintf(name, sizeof(name), "target-dc%u-%u",
+			 target->data_center, target->shard);
+		target->process = harness_start(cluster->harness, name, argv);
+		snprintf(target->url, sizeof(target->url),
+			 "http://127.0.0.1:%u",
+			 harness_read_port(cluster->harness, target->process));
+	}
+}
+
+static void choose_address(const char *ip, char *address, size_t size)
+{
+	snprintf(address, size, "%s:%u", ip, harness_free_port(ip));
+}
+
+/*
+ * An IP number of its own keeps an instance's ports from being taken by
+ * outgoing connections before it listens.
+ */
+static void place_instances(cluster_t *cluster)
+{
+	const cluster_params_t *params = &cluster->params;
+	cluster_instance_t *instance;
+	uint32_t i;
+
+	cluster->instance_count = params->data_centers * params->instances;
+	assert_in_range(cluster->instance_count, 1, CLUSTER_INSTANCES_MAX);
+	for (i = 0; i < cluster->instance_count; i++) {
+		instance = &cluster->instances[i];
+		instance->data_center = i / params->instances;
+		snprintf(instance->ip, sizeof(instance->ip), "127.0.1.%u",
+			 i + 1);
+		choose_address(instance->ip, instance->callers,
+			       sizeof(instance->callers));
+		choose_address(instance->ip, instance->front_peer,
+			       sizeof(instance->front_peer));
+		choose_address(instance->ip, instance->gather_peer,
+			       sizeof(instance->gather_peer));
+		snprintf(instance->url, sizeof(instance->url), "http://%s",
+			 instance->callers);
+	}
+}
+
+static void write_peers(const cluster_t *cluster, FILE *file)
+{
+	uint32_t i;
+
+	fprintf(file, "peers = [");
+	for (i = 0; i < cluster->instance_count; i++)
+		fprintf(file, "\"%s\", \"%s\", ",
+			cluster->instances[i].front_peer,
+			cluster->instances[i].gather_peer);
+	fprintf(file, "]\n");
+}
+
+static void write_settings(const cluster_t *cluster,
+			   const cluster_instance_t *instance, const char *path)
+{
+	const char *policy = cluster->params.policy;
+	FILE *file = fopen(path, "w");
+
+	assert_non_null(file);
+	fprintf(file, "data_center = \"dc%u\"\n", instance->data_center);
+	fprintf(file, "platform = \"%s\"\n", cluster->platform_address);
+	write_peers(cluster, file);
+	fprintf(file, "shards = 2\nlog_level = \"info\"\nseed = 1\n");
+	fprintf(file, "[front]\ncallers = \"%s\"\npeer = \"%s\"\n",
+		instance->callers, instance->front_peer);
+	fprintf(file, "[gather]\npeer = \"%s\"\n", instance->gather_peer);
+	if (policy)
+		fprintf(file, "[policy]\n%s", policy);
+	assert_int_equal(fclose(file), 0);
+}
+
+static mc_handle_t start_role(cluster_t *cluster,
+			      const cluster_instance_t *instance,
+			      const char *role)
+{
+	char name[NAME_SIZE], path[PATH_SIZE];
+	const char *argv[] = { MANGOCOVE, role, path, NULL };
+
+	snprintf(name, sizeof(name), "%s-%s", role, instance->ip);
+	snprintf(path, sizeof(path), "%s/%s.toml",
+		 harness_folder(cluster->harness), name);
+	write_settings(cluster, instance, path);
+	return harness_start(cluster->harness, name, argv);
+}
+
+void cluster_start_front(cluster_t *cluster, cluster_instance_t *instance)
+{
+	instance->front = start_role(cluster, instance, "front");
+}
+
+void cluster_start_gather(cluster_t *cluster, cluster_instance_t *instance)
+{
+	instance->gather = start_role(cluster, instance, "gather");
+}
+
+static void write_layout(const cluster_t *cluster, FILE *file)
+{
+	uint32_t i;
+
+	fprintf(file, "[[layout]]\nservice = \"" CLUSTER_SERVICE
+		      "\"\nname = \"l1\"\ndocuments = [");
+	for (i = 0; i < cluster->params.shards; i++)
+		fprintf(file, "%s%u", i ? ", " : "",
+			(i + 1) * CLUSTER_DOCUMENTS);
+	fprintf(file, "]\n");
+	for (i = 1; i <= cluster->params.snapshots; i++)
+		fprintf(file,
+			"[[snapshot]]\nservice = \"" CLUSTER_SERVICE
+			"\"\nid = \"s%u\"\nlayout = \"l1\"\norder = %u\n",
+			i, i);
+}
+
+static void write_targets(const cluster_t *cluster, FILE *file)
+{
+	const cluster_target_t *target;
+	uint32_t i;
+
+	for (i = 0; i < cluster->target_count; i++) {
+		target = &cluster->targets[i];
+		fprintf(file,
+			"[[target]]\nservice = \"" CLUSTER_SERVICE
+			"\"\nlayout = \"l1\"\nshard = %u\n"
+			"data_center = \"dc%u\"\nversion = \"v1\"\n"
+			"address = \"%s\"\n",
+			target->shard, target->data_center,
+			target->url + strlen("http://"));
+	}
+}
+
+char *cluster_config(const cluster_t *cluster, int out)
+{
+	char *text = NULL;
+	size_t size = 0;
+	FILE *file = open_memstream(&text, &size);
+	uint32_t i;
+
+	assert_non_null(file);
+	for (i = 0; i < cluster->params.data_centers; i++)
+		fprintf(file,
+			"[[data_center]]\nname = \"dc%u\"\nstate = \"%s\"\n", i,
+			(int)i == out ? "out" : "in");
+	fprintf(file,
+		"[[service]]\nname = \"" CLUSTER_SERVICE
+		"\"\ndeadline_ms = %d\n",
+		DEADLINE_MS);
+	write_layout(cluster, file);
+	write_targets(cluster, file);
+	assert_int_equal(fclose(file), 0);
+	return text;
+}
+
+void cluster_put_config(cluster_t *cluster, const char *text)
+{
+	char url[HARNESS_URL_SIZE], condition[HEADER_SIZE];
+	harness_request_t request = {
+		.method = "PUT",
+		.url = url,
+		.headers = { condition },
+		.body = text,
+	};
+	harness_reply_t reply;
+
+	snprintf(url, sizeof(url), "http://%s" CONFIG_PATH,
+		 cluster->platform_address);
+	snprintf(condition, sizeof(condition), "If-None-Match: *");
+	if (cluster->config_version)
+		snprintf(condition, sizeof(condition), "If-Match: \"%llu\"",
+			 (unsigned long long)cluster->config_version);
+	reply = harness_http(&request);
+	cluster->config_version = reply.version;
+	harness_reply_free(&reply);
+	assert_int_not_equal(cluster->config_version, 0);
+}
+
+/* Puts the list of instances to the platform. */
+static void put_instances(const cluster_t *cluster)
+{
+	json_t *list = json_array();
+	json_t *control;
+	char url[HARNESS_URL_SIZE], data_center[NAME_SIZE];
+	char *body;
+	uint32_t i;
+
+	for (i = 0; i < cluster->instance_count; i++) {
+		snprintf(data_center, sizeof(data_center), "dc%u",
+			 cluster->instances[i].data_center);
+		json_array_append_new(
+			list, json_pack("{ss ss ss}", "address",
+					cluster->instances[i].ip, "data_center",
+					data_center, "state", "live"));
+	}
+	control = json_pack("{so}", "instances", list);
+	body = json_dumps(control, 0);
+	snprintf(url, sizeof(url), "http://%s/standin",
+		 cluster->platform_address);
+	json_decref(harness_post(url, body));
+	json_decref(control);
+	free(body);
+}
+
+static bool is_ready(void *ctx)
+{
+	const cluster_instance_t *instance = ctx;
+	char url[2 * HARNESS_URL_SIZE];
+	harness_reply_t reply;
+	bool ready;
+
+	snprintf(url, sizeof(url), "%s/v1/ready", instance->url);
+	reply = harness_http(
+		&(harness_request_t){ .method = "GET", .url = url });
+	ready = reply.status == 200;
+	harness_reply_free(&reply);
+	return ready;
+}
+
+void cluster_start(cluster_t *cluster)
+{
+	char *text;
+	uint32_t i;
+
+	start_platform(cluster);
+	start_targets(cluster);
+	place_instances(cluster);
+	put_instances(cluster);
+	text = cluster_config(cluster, -1);
+	cluster_put_config(cluster, text);
+	free(text);
+	for (i = 0; i < cluster->instance_count; i++) {
+		cluster_start_gather(cluster, &cluster->instances[i]);
+		cluster_start_front(cluster, &cluster->instances[i]);
+	}
+	for (i = 0; i < cluster->instance_count; i++)
+		harness_wait("a front is ready", is_ready,
+			     &cluster->instances[i]);
+}
+
+void cluster_standin(const cluster_target_t *target, const char *body)
+{
+	char url[2 * HARNESS_URL_SIZE];
+
+	snprintf(url, sizeof(url), "%s/standin", target->url);
+	json_decref(harness_post(url, body));
+}
+
+void cluster_standin_all(const cluster_t *cluster, const char *body)
+{
+	uint32_t i;
+
+	for (i = 0; i < cluster->target_count; i++)
+		cluster_standin(&cluster->targets[i], body);
+}
+
+static json_int_t read_counter(const char *url, const char *name)
+{
+	json_t *json = harness_get(url);
+	const json_t *value = json_object_get(json, name);
+	json_int_t count = json_integer_value(value);
+
+	if (!json_is_integer(value))
+		fail_msg("no counter %s", name);
+	json_decref(json);
+	return count;
+}
+
+json_int_t cluster_counter(const cluster_target_t *target, const char *name)
+{
+	char url[2 * HARNESS_URL_SIZE];
+
+	snprintf(url, sizeof(url), "%s/standin", target->url);
+	return read_counter(url, name);
+}
+
+json_int_t cluster_counter_sum(const cluster_t *cluster, const char *name)
+{
+	json_int_t sum = 0;
+	uint32_t i;
+
+	for (i = 0; i < cluster->target_count; i++)
+		sum += cluster_counter(&cluster->targets[i], name);
+	return sum;
+}
+
+json_int_t cluster_query(const cluster_t *cluster, const char *argument,
+			 const char *name)
+{
+	char url[2 * HARNESS_URL_SIZE];
+	json_int_t sum = 0;
+	uint32_t i;
+
+	for (i = 0; i < cluster->target_count; i++) {
+		snprintf(url, sizeof(url), "%s/standin?%s",
+			 cluster->targets[i].url, argument);
+		sum += read_counter(url, name);
+	}
+	return sum;
+}
--- /dev/null
+++ b/tests/system/harness.c
@@ -0,0 +1,240 @@
+/*
+ * Processes of a test are records of a table. Each has its own process group
+ * and dies with the test program.
+ */
+#define _GNU_SOURCE
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <setjmp.h>
+#include <signal.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/prctl.h>
+#include <sys/socket.h>
+#include <sys/stat.h>
+#include <sys/wait.h>
+#include <time.h>
+#include <unistd.h>
+#include <poll.h>
+#include <cmocka.h>
+
+#include "harness.h"
+
+enum {
+	PROCESSES_MAX = 256,
+	PATH_SIZE = 512,
+	LINE_SIZE = 64,
+	/* Pause between two looks at a condition. */
+	LOOK_EVERY_MS = 20,
+	NS_PER_MS = 1000000,
+	FILE_MODE = 0644,
+	FOLDER_MODE = 0755,
+	EXEC_FAILED = 127,
+};
+
+struct harness_t {
+	char folder[PATH_SIZE / 2];
+	mc_table_t *processes;
+};
+
+/* @output: read end of its standard output */
+typedef struct process_t {
+	pid_t pid;
+	int output;
+} process_t;
+
+harness_t *harness_create(const char *name)
+{
+	harness_t *harness = calloc(1, sizeof(*harness));
+
+	if (!harness)
+		return NULL;
+	mkdir("logs", FOLDER_MODE);
+	snprintf(harness->folder, sizeof(harness->folder), "logs/%s", name);
+	mkdir(harness->folder, FOLDER_MODE);
+	harness->processes = mc_table_create(sizeof(process_t), PROCESSES_MAX);
+	if (!harness->processes) {
+		free(harness);
+		return NULL;
+	}
+	return harness;
+}
+
+const char *harness_folder(const harness_t *harness)
+{
+	return harness->folder;
+}
+
+static void pause_briefly(void)
+{
+	const struct timespec pause = { .tv_nsec = LOOK_EVERY_MS * NS_PER_MS };
+
+	nanosleep(&pause, NULL);
+}
+
+/* A program that does not end in time is killed. */
+static int process_end(process_t *process, int signal)
+{
+	const mc_clock_t *clock = mc_clock_system();
+	mc_ms_t end = mc_clock_now(clock) + HARNESS_WAIT_MS;
+	int status = 0;
+
+	kill(process->pid, signal);
+	/* A stopped process handles its signals when it goes on. */
+	kill(process->pid, SIGCONT);
+	while (!waitpid(process->pid, &status, WNOHANG)) {
+		if (mc_clock_now(clock) >= end)
+			kill(process->pid, SIGKILL);
+		pause_briefly();
+	}
+	close(process->output);
+	return WIFSIGNALED(status) ? -WTERMSIG(status) : WEXITSTATUS(status);
+}
+
+void harness_destroy(harness_t *harness)
+{
+	uint32_t cursor = 0;
+	mc_handle_t handle;
+	process_t *process;
+
+	if (!harness)
+		return;
+	while ((process = mc_table_next(harness->processes, &cursor, &handle)))
+		process_end(process, SIGKILL);
+	mc_table_destroy(harness->processes);
+	free(harness);
+}
+
+/* In the child: only functions that are safe after a fork with threads. */
+_Noreturn static void run_program(const char *log, int output, pid_t parent,
+				  const char *const *argv)
+{
+	int fd = open(log, O_WRONLY | O_CREAT | O_TRUNC, FILE_MODE);
+
+	prctl(PR_SET_PDEATHSIG, SIGKILL);
+	if (getppid() != parent || fd < 0)
+		_exit(EXEC_FAILED);
+	setpgid(0, 0);
+	dup2(output, STDOUT_FILENO);
+	dup2(fd, STDERR_FILENO);
+	execv(argv[0], (char *const *)argv);
+	_exit(EXEC_FAILED);
+}
+
+mc_handle_t harness_start(harness_t *harness, const char *name,
+			  const char *const *argv)
+{
+	char log[PATH_SIZE];
+	pid_t parent = getpid();
+	mc_handle_t handle;
+	process_t *process;
+	void *record;
+	int ends[2];
+
+	snprintf(log, sizeof(log), "%s/%s.log", harness->folder, name);
+	assert_int_equal(pipe2(ends, O_CLOEXEC), 0);
+	assert_int_equal(mc_table_add(harness->processes, &handle, &record),
+			 MC_OK);
+	process = record;
+	process->output = ends[0];
+	process->pid = fork();
+	if (!process->pid)
+		run_program(log, ends[1], parent, argv);
+	close(ends[1]);
+	if (process->pid < 0) {
+		mc_table_remove(harness->processes, handle);
+		fail_msg("can't fork");
+	}
+	return handle;
+}
+
+static process_t *process_get(harness_t *harness, mc_handle_t handle)
+{
+	process_t *process = mc_table_get(harness->processes, handle);
+
+	if (!process)
+		fail_msg("no such process");
+	return process;
+}
+
+/* Reads one line; "" if the program ends or the bound passes before. */
+static void read_line(const process_t *process, char *line, size_t size)
+{
+	struct pollfd ready = { .fd = process->output, .events = POLLIN };
+	size_t used = 0;
+
+	while (used < size - 1) {
+		if (poll(&ready, 1, HARNESS_WAIT_MS) <= 0 ||
+		    read(process->output, line + used, 1) <= 0) {
+			used = 0;
+			break;
+		}
+		if (line[used] == '\n')
+			break;
+		used++;
+	}
+	line[used] = '\0';
+}
+
+uint16_t harness_read_port(harness_t *harness, mc_handle_t process)
+{
+	static const char start[] = "port ";
+	char line[LINE_SIZE];
+
+	read_line(process_get(harness, process), line, sizeof(line));
+	if (strncmp(line, start, sizeof(start) - 1) != 0)
+		fail_msg("no line with a port, but \"%s\"", line);
+	return (uint16_t)strtoul(line + sizeof(start) - 1, NULL, 10);
+}
+
+int harness_stop(harness_t *harness, mc_handle_t process, int signal)
+{
+	int status = process_end(process_get(harness, process), signal);
+
+	mc_table_remove(harness->processes, process);
+	return status;
+}
+
+void harness_signal(harness_t *harness, mc_handle_t process, int signal)
+{
+	kill(process_get(harness, process)->pid, signal);
+}
+
+bool harness_running(harness_t *harness, mc_handle_t process)
+{
+	siginfo_t info = { 0 };
+
+	waitid(P_PID, (id_t)process_get(harness, process)->pid, &info,
+	       WEXITED | WNOHANG | WNOWAIT);
+	return info.si_pid == 0;
+}
+
+uint16_t harness_free_port(const char *ip)
+{
+	struct sockaddr_in address = { .sin_family = AF_INET };
+	socklen_t size = sizeof(address);
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+	assert_true(fd >= 0);
+	assert_int_equal(inet_pton(AF_INET, ip, &address.sin_addr), 1);
+	assert_int_equal(bind(fd, (struct sockaddr *)&address, size), 0);
+	assert_int_equal(getsockname(fd, (struct sockaddr *)&address, &size),
+			 0);
+	close(fd);
+	return ntohs(address.sin_port);
+}
+
+void harness_wait(const char *what, harness_condition_fn_t condition, void *ctx)
+{
+	const mc_clock_t *clock = mc_clock_system();
+	mc_ms_t end = mc_clock_now(clock) + HARNESS_WAIT_MS;
+
+	while (!condition(ctx)) {
+		if (mc_clock_now(clock) >= end)
+			fail_msg("waited in vain until %s", what);
+		pause_briefly();
+	}
+}
--- /dev/null
+++ b/tests/system/run_test.c
@@ -0,0 +1,203 @@
+/*
+ * System tests of requests that may run only once: whatever is lost, no key
+ * runs twice, and "not run" is true.
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <cmocka.h>
+
+#include "cluster.h"
+
+enum {
+	HEADER_SIZE = 64,
+};
+
+#define RUN                                                                 \
+	"{\"service\":\"" CLUSTER_SERVICE "\",\"route_key\":\"balcony-7\"," \
+	"\"query\":{\"pot\":7}}"
+
+static harness_reply_t run(const cluster_instance_t *instance, const char *key)
+{
+	char url[2 * HARNESS_URL_SIZE], header[HEADER_SIZE];
+
+	snprintf(url, sizeof(url), "%s/v1/run", instance->url);
+	snprintf(header, sizeof(header), "Idempotency-Key: %s", key);
+	return harness_http(&(harness_request_t){
+		.method = "POST",
+		.url = url,
+		.headers = { header, "Deadline-Ms: 3000" },
+		.body = RUN });
+}
+
+static bool says_not_run(const harness_reply_t *reply)
+{
+	const json_t *error = json_object_get(reply->json, "error");
+
+	return json_is_true(json_object_get(error, "not_run"));
+}
+
+static json_int_t runs(const cluster_t *cluster)
+{
+	return cluster_counter_sum(cluster, "runs");
+}
+
+/* Runs keys until one succeeds; each that does not must be told as not run. */
+typedef struct attempts_t {
+	cluster_t *cluster;
+	int count;
+} attempts_t;
+
+static bool has_run(void *ctx)
+{
+	attempts_t *attempts = ctx;
+	char key[HEADER_SIZE / 2];
+	harness_reply_t reply;
+	int status;
+
+	snprintf(key, sizeof(key), "first-%d", attempts->count++);
+	reply = run(&attempts->cluster->instances[0], key);
+	status = reply.status;
+	assert_true(status == 200 || says_not_run(&reply));
+	harness_reply_free(&reply);
+	return status == 200;
+}
+
+/* Return: runs so far. */
+static json_int_t start_and_run(cluster_t *cluster)
+{
+	attempts_t attempts = { .cluster = cluster };
+
+	cluster_start(cluster);
+	harness_wait("a request has run", has_run, &attempts);
+	assert_int_equal(runs(cluster), 1);
+	return 1;
+}
+
+static void test_key_runs_once(void **state)
+{
+	cluster_t *cluster = *state;
+	json_int_t before = start_and_run(cluster);
+	harness_reply_t reply = run(&cluster->instances[0], "k1");
+	uint32_t i;
+
+	assert_int_equal(reply.status, 200);
+	harness_reply_free(&reply);
+	for (i = 0; i < cluster->instance_count; i++) {
+		reply = run(&cluster->instances[i], "k1");
+		assert_int_not_equal(reply.status, 0);
+		assert_false(says_not_run(&reply));
+		harness_reply_free(&reply);
+	}
+	assert_int_equal(runs(cluster), before + 1);
+}
+
+/* The target ran it and its answer is lost: not again, and not "not run". */
+static void test_lost_answer_is_unknown(void **state)
+{
+	cluster_t *cluster = *state;
+	json_int_t before = start_and_run(cluster);
+	harness_reply_t reply;
+
+	cluster_standin_all(cluster, "{\"drop_run\":true}");
+	reply = run(&cluster->instances[0], "k1");
+	assert_int_not_equal(reply.status, 200);
+	assert_non_null(json_object_get(reply.json, "error"));
+	assert_false(says_not_run(&reply));
+	harness_reply_free(&reply);
+	assert_int_equal(runs(cluster), before + 1);
+}
+
+static void test_draining_targets_refuse(void **state)
+{
+	cluster_t *cluster = *state;
+	json_int_t before = start_and_run(cluster);
+	harness_reply_t reply;
+
+	cluster_standin_all(cluster, "{\"drain\":true}");
+	reply = run(&cluster->instances[0], "k1");
+	assert_int_equal(reply.status, 503);
+	assert_true(says_not_run(&reply));
+	harness_reply_free(&reply);
+	assert_int_equal(runs(cluster), before);
+}
+
+static void platform_control(const cluster_t *cluster, const char *body)
+{
+	char url[HARNESS_URL_SIZE];
+
+	snprintf(url, sizeof(url), "http://%s/standin",
+		 cluster->platform_address);
+	json_decref(harness_post(url, body));
+}
+
+static void test_store_down_refuses(void **state)
+{
+	cluster_t *cluster = *state;
+	json_int_t before = start_and_run(cluster);
+	harness_reply_t reply;
+
+	platform_control(cluster, "{\"down\":true}");
+	reply = run(&cluster->instances[0], "k1");
+	assert_int_equal(reply.status, 503);
+	assert_true(says_not_run(&reply));
+	harness_reply_free(&reply);
+	assert_int_equal(runs(cluster), before);
+}
+
+/* The claim took effect and its answer is lost: it runs once or is refused. */
+static void test_lost_claim_runs_at_most_once(void **state)
+{
+	cluster_t *cluster = *state;
+	json_int_t before = start_and_run(cluster);
+	harness_reply_t reply;
+	bool ran;
+
+	platform_control(cluster, "{\"lose_answers\":1}");
+	reply = run(&cluster->instances[0], "k1");
+	ran = reply.status == 200;
+	assert_true(ran || says_not_run(&reply));
+	harness_reply_free(&reply);
+	reply = run(&cluster->instances[1], "k1");
+	ran = ran || reply.status == 200;
+	harness_reply_free(&reply);
+	assert_int_equal(runs(cluster), before + ran);
+}
+
+static int set_up(void **state)
+{
+	cluster_params_t params = {
+		.name = "run",
+		.data_centers = 2,
+		.instances = 1,
+		.shards = 2,
+		.snapshots = 1,
+	};
+
+	*state = cluster_create(&params);
+	return *state ? 0 : -1;
+}
+
+static int tear_down(void **state)
+{
+	cluster_destroy(*state);
+	return 0;
+}
+
+#define RUN_TEST(test) cmocka_unit_test_setup_teardown(test, set_up, tear_down)
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		RUN_TEST(test_key_runs_once),
+		RUN_TEST(test_lost_answer_is_unknown),
+		RUN_TEST(test_draining_targets_refuse),
+		RUN_TEST(test_store_down_refuses),
+		RUN_TEST(test_lost_claim_runs_at_most_once),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/system/search_test.c
@@ -0,0 +1,388 @@
+/*
+ * System tests of searches: 4 shards in 2 data centres, each with one target
+ * per shard, one front and one gather. Every answer that a test gets is checked
+ * for honest coverage and for one snapshot.
+ */
+#include <setjmp.h>
+#include <signal.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <cmocka.h>
+
+#include "cluster.h"
+
+enum {
+	SHARDS = 4,
+	/* Above the number of shards, so that each answered shard has a hit. */
+	LIMIT = 6,
+	ID_SIZE = 128,
+	DEADLINE_MS = 3000,
+	/* How late an answer may be on a busy machine, ms. */
+	LATE_MS = 10000,
+	SHARD_LOST = 1,
+};
+
+#define SEARCH                                                            \
+	"{\"service\":\"" CLUSTER_SERVICE "\",\"query\":{\"q\":\"dry\"}," \
+	"\"limit\":6,\"class\":\"interactive\"}"
+#define DEADLINE "Deadline-Ms: 3000"
+
+static harness_request_t search_request(char *url, size_t size,
+					const cluster_instance_t *instance)
+{
+	snprintf(url, size, "%s/v1/search", instance->url);
+	return (harness_request_t){
+		.method = "POST",
+		.url = url,
+		.headers = { DEADLINE, "Content-Type: application/json" },
+		.body = SEARCH,
+	};
+}
+
+static const json_t *member(const json_t *json, const char *key)
+{
+	const json_t *value = json_object_get(json, key);
+
+	if (!value)
+		fail_msg("no key \"%s\" in the answer", key);
+	return value;
+}
+
+static json_int_t integer(const json_t *json, const char *key)
+{
+	const json_t *value = member(json, key);
+
+	assert_true(json_is_integer(value));
+	return json_integer_value(value);
+}
+
+static const char *text(const json_t *json, const char *key)
+{
+	const json_t *value = member(json, key);
+
+	assert_true(json_is_string(value));
+	return json_string_value(value);
+}
+
+static uint32_t shard_of(const json_t *json)
+{
+	json_int_t shard = integer(json, "shard");
+
+	assert_string_equal(text(json, "service"), CLUSTER_SERVICE);
+	assert_in_range(shard, 0, SHARDS - 1);
+	return (uint32_t)shard;
+}
+
+/* Notes the missing shards; each is named once and with a reason. */
+static void read_missing(const json_t *answer, bool *missing)
+{
+	const json_t *list = member(answer, "missing");
+	const json_t *entry;
+	uint32_t shard;
+	size_t i;
+
+	json_array_foreach(list, i, entry)
+	{
+		shard = shard_of(entry);
+		assert_false(missing[shard]);
+		assert_true(*text(entry, "reason"));
+		missing[shard] = true;
+	}
+}
+
+static void check_coverage(const json_t *answer, const bool *missing)
+{
+	const json_t *coverage = member(answer, "coverage");
+	json_int_t answered = 0, documents = 0, total = 0;
+	uint32_t i;
+
+	for (i = 0; i < SHARDS; i++) {
+		total += (i + 1) * CLUSTER_DOCUMENTS;
+		if (missing[i])
+			continue;
+		answered++;
+		documents += (i + 1) * CLUSTER_DOCUMENTS;
+	}
+	assert_int_equal(integer(coverage, "shards_total"), SHARDS);
+	assert_int_equal(integer(coverage, "documents_total"), total);
+	assert_int_equal(integer(coverage, "shards_answered"), answered);
+	assert_int_equal(integer(coverage, "documents_answered"), documents);
+	assert_int_equal(json_is_true(member(answer, "complete")),
+			 answered == SHARDS);
+}
+
+/* Hits come from the pinned snapshot and from all shards not missing. */
+static void check_hits(const json_t *answer, const bool *missing)
+{
+	const char *snapshot =
+		text(member(answer, "snapshot"), CLUSTER_SERVICE);
+	bool seen[SHARDS] = { false };
+	double score, last = 0;
+	char prefix[ID_SIZE];
+	const json_t *hit;
+	uint32_t shard;
+	size_t i;
+
+	json_array_foreach(member(answer, "hits"), i, hit)
+	{
+		shard = shard_of(hit);
+		snprintf(prefix, sizeof(prefix), "%s/%u/", snapshot, shard);
+		assert_memory_equal(text(hit, "id"), prefix, strlen(prefix));
+		score = json_number_value(member(hit, "score"));
+		assert_true(!i || score <= last);
+		last = score;
+		seen[shard] = true;
+	}
+	assert_true(i <= LIMIT);
+	for (i = 0; i < SHARDS; i++)
+		assert_int_equal(seen[i], !missing[i]);
+}
+
+/* Return: the answer, checked; to be freed. */
+static json_t *check_answer(harness_reply_t *reply)
+{
+	json_t *answer = json_incref(reply->json);
+	bool missing[SHARDS] = { false };
+
+	if (reply->status != 200 || !answer)
+		fail_msg("status %d: %s", reply->status, reply->body);
+	harness_reply_free(reply);
+	assert_true(*text(answer, "request"));
+	read_missing(answer, missing);
+	check_coverage(answer, missing);
+	check_hits(answer, missing);
+	return answer;
+}
+
+static json_t *search(const cluster_instance_t *instance)
+{
+	char url[2 * HARNESS_URL_SIZE];
+	harness_request_t request = search_request(url, sizeof(url), instance);
+	harness_reply_t reply = harness_http(&request);
+
+	return check_answer(&reply);
+}
+
+static bool search_is_complete(void *ctx)
+{
+	json_t *answer = search(ctx);
+	bool complete = json_is_true(member(answer, "complete"));
+
+	json_decref(answer);
+	return complete;
+}
+
+static void wait_complete(cluster_t *cluster)
+{
+	uint32_t i;
+
+	for (i = 0; i < cluster->instance_count; i++)
+		harness_wait("an answer is complete", search_is_complete,
+			     &cluster->instances[i]);
+}
+
+static void test_merges_all_shards(void **state)
+{
+	static const char *const ids[LIMIT] = { "s1/0/0", "s1/1/0", "s1/2/0",
+						"s1/3/0", "s1/0/1", "s1/1/1" };
+	cluster_t *cluster = *state;
+	const json_t *hits;
+	json_t *answer;
+	uint32_t i;
+
+	cluster_start(cluster);
+	wait_complete(cluster);
+	answer = search(&cluster->instances[0]);
+	hits = member(answer, "hits");
+	assert_int_equal(json_array_size(hits), LIMIT);
+	for (i = 0; i < LIMIT; i++)
+		assert_string_equal(text(json_array_get(hits, i), "id"),
+				    ids[i]);
+	json_decref(answer);
+}
+
+/* s2 is newer, but one shard does not have it yet. */
+static void test_pins_one_snapshot(void **state)
+{
+	cluster_t *cluster = *state;
+	uint32_t i;
+
+	cluster->params.snapshots = 2;
+	cluster_start(cluster);
+	wait_complete(cluster);
+	for (i = 0; i < cluster->target_count; i++)
+		if (cluster->targets[i].shard != SHARD_LOST)
+			cluster_standin(&cluster->targets[i],
+					"{\"snapshots\":[\"s1\",\"s2\"]}");
+	for (i = 0; i < SHARDS; i++)
+		json_decref(search(&cluster->instances[i % 2]));
+	wait_complete(cluster);
+	cluster_standin_all(cluster, "{\"snapshots\":[\"s1\",\"s2\"]}");
+	for (i = 0; i < SHARDS; i++)
+		json_decref(search(&cluster->instances[i % 2]));
+	wait_complete(cluster);
+}
+
+/* Answers that name another snapshot are no part of an answer. */
+static void test_drops_other_snapshot(void **state)
+{
+	cluster_t *cluster = *state;
+	uint32_t i;
+	json_t *answer;
+
+	cluster_start(cluster);
+	wait_complete(cluster);
+	for (i = 0; i < cluster->target_count; i++)
+		if (cluster->targets[i].shard == SHARD_LOST)
+			cluster_standin(&cluster->targets[i],
+					"{\"echo_snapshot\":\"s0\"}");
+	for (i = 0; i < cluster->instance_count; i++) {
+		answer = search(&cluster->instances[i]);
+		assert_true(json_is_false(member(answer, "complete")));
+		json_decref(answer);
+	}
+}
+
+/* Stops every target of one shard in a data centre. */
+static void kill_target(cluster_t *cluster, uint32_t data_center)
+{
+	cluster_target_t *target;
+	uint32_t i;
+
+	for (i = 0; i < cluster->target_count; i++) {
+		target = &cluster->targets[i];
+		if (target->data_center == data_center &&
+		    target->shard == SHARD_LOST)
+			harness_stop(cluster->harness, target->process,
+				     SIGKILL);
+	}
+}
+
+static void test_target_killed(void **state)
+{
+	cluster_t *cluster = *state;
+	uint32_t i;
+	json_t *answer;
+
+	cluster_start(cluster);
+	wait_complete(cluster);
+	kill_target(cluster, 0);
+	wait_complete(cluster);
+	kill_target(cluster, 1);
+	for (i = 0; i < cluster->instance_count; i++) {
+		answer = search(&cluster->instances[i]);
+		assert_true(json_is_false(member(answer, "complete")));
+		json_decref(answer);
+	}
+}
+
+/* Which data centre's targets have work; found by is_searching(). */
+typedef struct working_t {
+	cluster_t *cluster;
+	uint32_t data_center;
+} working_t;
+
+static bool is_searching(void *ctx)
+{
+	working_t *working = ctx;
+	const cluster_target_t *target;
+	uint32_t i;
+
+	for (i = 0; i < working->cluster->target_count; i++) {
+		target = &working->cluster->targets[i];
+		if (cluster_counter(target, "in_flight") > 0) {
+			working->data_center = target->data_center;
+			return true;
+		}
+	}
+	return false;
+}
+
+static void test_gather_killed_in_query(void **state)
+{
+	cluster_t *cluster = *state;
+	working_t working = { .cluster = cluster };
+	char url[2 * HARNESS_URL_SIZE];
+	harness_request_t request;
+	harness_reply_t reply;
+	harness_call_t *call;
+
+	cluster_start(cluster);
+	wait_complete(cluster);
+	cluster_standin_all(cluster, "{\"delay_ms\":400}");
+	request = search_request(url, sizeof(url), &cluster->instances[0]);
+	call = harness_http_begin(&request);
+	harness_wait("targets have work", is_searching, &working);
+	harness_stop(cluster->harness,
+		     cluster->instances[working.data_center].gather, SIGKILL);
+	reply = harness_http_end(call);
+	assert_in_range(reply.elapsed, 0, DEADLINE_MS + LATE_MS);
+	json_decref(check_answer(&reply));
+	wait_complete(cluster);
+}
+
+/* A planned stop cuts no request in flight. */
+static void test_front_stopped_in_query(void **state)
+{
+	cluster_t *cluster = *state;
+	working_t working = { .cluster = cluster };
+	char url[2 * HARNESS_URL_SIZE];
+	harness_request_t request;
+	harness_reply_t reply;
+	harness_call_t *call;
+	json_t *answer;
+
+	cluster_start(cluster);
+	wait_complete(cluster);
+	cluster_standin_all(cluster, "{\"delay_ms\":400}");
+	request = search_request(url, sizeof(url), &cluster->instances[0]);
+	call = harness_http_begin(&request);
+	harness_wait("targets have work", is_searching, &working);
+	assert_int_equal(harness_stop(cluster->harness,
+				      cluster->instances[0].front, SIGTERM),
+			 0);
+	reply = harness_http_end(call);
+	answer = check_answer(&reply);
+	assert_true(json_is_true(member(answer, "complete")));
+	json_decref(answer);
+}
+
+static int set_up(void **state)
+{
+	cluster_params_t params = {
+		.name = "search",
+		.data_centers = 2,
+		.instances = 1,
+		.shards = SHARDS,
+		.snapshots = 1,
+	};
+
+	*state = cluster_create(&params);
+	return *state ? 0 : -1;
+}
+
+static int tear_down(void **state)
+{
+	cluster_destroy(*state);
+	return 0;
+}
+
+#define SEARCH_TEST(test) \
+	cmocka_unit_test_setup_teardown(test, set_up, tear_down)
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		SEARCH_TEST(test_merges_all_shards),
+		SEARCH_TEST(test_pins_one_snapshot),
+		SEARCH_TEST(test_drops_other_snapshot),
+		SEARCH_TEST(test_target_killed),
+		SEARCH_TEST(test_gather_killed_in_query),
+		SEARCH_TEST(test_front_stopped_in_query),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
