--- a/Makefile
+++ b/Makefile
@@ -9,8 +9,9 @@
 COMPILE = cmake --build $(1) -j $(JOBS) -- --no-print-directory
 SANITIZERS = address,undefined
 
+
 .PHONY: all packages build build-fuzz test test-fuzz check lint format fuzz \
-	check-sanitize clean
+	check-sanitize demo clean
 
 all: build
 
@@ -43,6 +44,10 @@
 	@$(call COMPILE,$(BUILD)-tsan)
 	@sh tools/run-tests $(BUILD)-tsan
 
+# Stand-ins, two data centres, a configuration and searches, on loopback.
+demo: packages build
+	@bash tools/demo $(BUILD)
+
 fuzz: build-fuzz
 	@for f in $(BUILD)-fuzz/tests/fuzz/*_fuzz; do \
 		$$f -seed=$$(date +%s) -runs=$(FUZZ_RUNS) -max_len=2048 \
--- a/src/cli/cli.c
+++ b/src/cli/cli.c
@@ -12,13 +12,13 @@
 /* One more byte than is allowed, so that a longer file is noticed. */
 #define READ_MAX ((size_t)MC_CONFIG_TEXT_MAX + 1)
 
-static void print_usage(FILE *out, const cli_command_t *command, void **table)
+static void print_usage(FILE *out, const cli_usage_t *usage)
 {
-	fprintf(out, "Usage: mangocove %s", command->name);
-	arg_print_syntax(out, table, "\n");
-	fprintf(out, "%s\n\n", command->purpose);
-	arg_print_glossary(out, table, "  %-14s %s\n");
-	fprintf(out, "\nExample: %s\n", command->example);
+	fprintf(out, "Usage: mangocove %s", usage->name);
+	arg_print_syntax(out, usage->table, "\n");
+	fprintf(out, "%s\n\n", usage->purpose);
+	arg_print_glossary(out, usage->table, "  %-20s %s\n");
+	fprintf(out, "\nExample: %s\n", usage->example);
 }
 
 static mc_cli_exit_t fail_read(const char *name)
@@ -70,10 +70,34 @@
 		fprintf(stderr, "%s: %s\n", name, mc_last_message());
 }
 
-static mc_cli_exit_t run_on_file(const cli_command_t *command, const char *name)
+bool cli_parse(const cli_usage_t *usage, int argc, char **argv,
+	       mc_cli_exit_t *status)
+{
+	int faults;
+
+	*status = MC_CLI_OK;
+	if (arg_nullcheck(usage->table)) {
+		fputs("no memory for the arguments\n", stderr);
+		*status = MC_CLI_IO;
+		return false;
+	}
+	faults = arg_parse(argc, argv, usage->table);
+	if (usage->help->count) {
+		print_usage(stdout, usage);
+		return false;
+	}
+	if (!faults)
+		return true;
+	arg_print_errors(stderr, usage->end, usage->name);
+	print_usage(stderr, usage);
+	*status = MC_CLI_BAD_INPUT;
+	return false;
+}
+
+mc_cli_exit_t cli_read_config(const char *name, mc_ms_t now,
+			      const mc_config_t **config)
 {
 	mc_config_faults_t faults;
-	const mc_config_t *config;
 	mc_cli_exit_t status;
 	char *text;
 	size_t size;
@@ -81,12 +105,9 @@
 	status = read_file(name, &text, &size);
 	if (status)
 		return status;
-	if (mc_config_parse(text, size, 0, command->now, &config, &faults)) {
+	if (mc_config_parse(text, size, 0, now, config, &faults)) {
 		print_faults(name, &faults);
 		status = MC_CLI_BAD_INPUT;
-	} else {
-		status = command->run(config);
-		mc_config_unref(config);
 	}
 	free(text);
 	return status;
@@ -99,22 +120,23 @@
 					  "configuration; - is standard input");
 	struct arg_end *end = arg_end(1);
 	void *table[] = { help, file, end };
-	mc_cli_exit_t status = MC_CLI_OK;
-	int faults;
+	const cli_usage_t usage = {
+		.name = command->name,
+		.purpose = command->purpose,
+		.example = command->example,
+		.table = table,
+		.help = help,
+		.end = end,
+	};
+	const mc_config_t *config;
+	mc_cli_exit_t status;
 
-	if (arg_nullcheck(table)) {
-		fputs("no memory for the arguments\n", stderr);
-		return MC_CLI_IO;
-	}
-	faults = arg_parse(argc, argv, table);
-	if (help->count) {
-		print_usage(stdout, command, table);
-	} else if (faults) {
-		arg_print_errors(stderr, end, command->name);
-		print_usage(stderr, command, table);
-		status = MC_CLI_BAD_INPUT;
-	} else {
-		status = run_on_file(command, file->filename[0]);
+	if (cli_parse(&usage, argc, argv, &status))
+		status = cli_read_config(file->filename[0], command->now,
+					 &config);
+	if (!status && !help->count) {
+		status = command->run(config);
+		mc_config_unref(config);
 	}
 	arg_freetable(table, MC_ARRAY_LEN(table));
 	return status;
--- a/src/cli/include/mc/cli.h
+++ b/src/cli/include/mc/cli.h
@@ -1,5 +1,5 @@
 /*
- * Public header of the cli library: the operators' commands on files. Each
+ * Public header of the cli library: the operators' commands. Each
  * takes the arguments of main() from the command's name on, writes its result
  * to standard output and faults to standard error.
  */
@@ -11,8 +11,12 @@
 	MC_CLI_OK = 0,
 	/* The arguments or the configuration have faults. */
 	MC_CLI_BAD_INPUT = 2,
-	/* A file could not be read or the result not be written. */
+	/* A file, a front or the store could not be read or written. */
 	MC_CLI_IO = 3,
+	/* Another change came first; nothing was accepted. */
+	MC_CLI_RACE = 4,
+	/* The store's answer was lost; the change may be accepted. */
+	MC_CLI_UNKNOWN = 5,
 } mc_cli_exit_t;
 
 /**
@@ -33,4 +37,24 @@
  */
 int mc_cli_print(int argc, char **argv);
 
+/**
+ * mc_cli_submit() - "submit --platform IP:PORT FILE|-": submit a configuration
+ * @argc: number of arguments
+ * @argv: "submit" and its arguments
+ *
+ * Says "accepted" only when that is known.
+ *
+ * Return: an exit status.
+ */
+int mc_cli_submit(int argc, char **argv);
+
+/**
+ * mc_cli_status() - "status IP:PORT...": show fronts' view of the fleet
+ * @argc: number of arguments
+ * @argv: "status" and its arguments
+ *
+ * Return: an exit status.
+ */
+int mc_cli_status(int argc, char **argv);
+
 #endif
--- /dev/null
+++ b/src/front/claim.c
@@ -0,0 +1,228 @@
+/*
+ * Claims of keys in the platform's store. A claim is an object created if
+ * absent, so that one request of a key at most is let out to a target, from
+ * whatever front. Its content names the request and tells whether it may have
+ * run:
+ *
+ *	{"request": ID, "state": "claimed" | "released" | "done", "result": any}
+ *
+ * A write whose answer was lost is read back.
+ */
+#include "run_private.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+enum {
+	READ_BACK_MS = 100,
+	READ_BACK_MAX = 5,
+	RESULT_MAX = 64 << 10,
+};
+
+/* A call to the store that outlives the request it was made for. */
+typedef struct {
+	front_t *front;
+	mc_handle_t run;
+} claim_call_t;
+
+static void read_claim(run_t *run);
+
+static char *encode(const run_t *run, const char *state, const char *result)
+{
+	json_t *value = NULL;
+	json_t *root;
+	char *text;
+
+	if (result)
+		value = json_loads(result, JSON_DECODE_ANY, NULL);
+	root = json_pack("{s:s, s:s, s:o}", "request", run->id, "state", state,
+			 "result", value ? value : json_null());
+	text = json_dumps(root, JSON_COMPACT);
+	json_decref(root);
+	return text;
+}
+
+static claim_call_t *make_call(const run_t *run)
+{
+	claim_call_t *call = malloc(sizeof(*call));
+
+	if (call)
+		*call = (claim_call_t){
+			.front = run->front,
+			.run = run->handle,
+		};
+	return call;
+}
+
+/* The request of a call that has ended; NULL if it has ended meanwhile. */
+static run_t *take_call(void *ctx)
+{
+	claim_call_t *call = ctx;
+	run_t *run = mc_table_get(call->front->runs, call->run);
+
+	free(call);
+	return run;
+}
+
+static void claim_ours(run_t *run, uint64_t version)
+{
+	run->claim_version = version;
+	run_step(run, MC_ONCE_EV_CLAIM_OURS, MC_OK, NULL);
+}
+
+static void on_taken_over(void *ctx, const mc_store_result_t *result)
+{
+	run_t *run = take_call(ctx);
+
+	if (!run)
+		return;
+	if (!result->err)
+		claim_ours(run, result->version);
+	else if (result->err == MC_ERR_CONFLICT)
+		run_step(run, MC_ONCE_EV_CLAIM_OTHERS, MC_OK, NULL);
+	else
+		read_claim(run);
+}
+
+/* A released claim is written anew, on condition that it is still released. */
+static void take_over(run_t *run, uint64_t version)
+{
+	const mc_store_api_t *api = mc_process_store(run->front->process);
+	char *text = encode(run, "claimed", NULL);
+	claim_call_t *call = make_call(run);
+
+	if (!text || !call ||
+	    api->update(run->front->store, run->claim_name, version, text,
+			strlen(text), on_taken_over, call)) {
+		free(call);
+		run_step(run, MC_ONCE_EV_CLAIM_FAILED, MC_ERR_STORE_UNAVAILABLE,
+			 NULL);
+	}
+	free(text);
+}
+
+/* Another request's claim, or this one's whose answer was lost. */
+static void judge_claim(run_t *run, const json_t *claim, uint64_t version)
+{
+	const char *request =
+		json_string_value(json_object_get(claim, "request"));
+	const char *state = json_string_value(json_object_get(claim, "state"));
+
+	if (request && !strcmp(request, run->id))
+		claim_ours(run, version);
+	else if (state && !strcmp(state, "released"))
+		take_over(run, version);
+	else if (state && !strcmp(state, "done"))
+		run_repeat(run, json_object_get(claim, "result"));
+	else
+		run_step(run, MC_ONCE_EV_CLAIM_OTHERS, MC_OK, NULL);
+}
+
+static void read_again(mc_shard_t *shard, void *arg)
+{
+	run_t *run = arg;
+
+	(void)shard;
+	run->read_timer = MC_HANDLE_NONE;
+	read_claim(run);
+}
+
+static void on_read(void *ctx, const mc_store_result_t *result)
+{
+	run_t *run = take_call(ctx);
+	json_t *claim;
+
+	if (!run)
+		return;
+	if (result->err == MC_ERR_NOT_FOUND ||
+	    (result->err && ++run->claim_reads == READ_BACK_MAX)) {
+		run_step(run, MC_ONCE_EV_CLAIM_FAILED, MC_ERR_STORE_UNAVAILABLE,
+			 NULL);
+		return;
+	}
+	if (result->err) {
+		mc_timer_set(run->front->shard,
+			     mc_shard_now(run->front->shard) + READ_BACK_MS,
+			     read_again, run, &run->read_timer);
+		return;
+	}
+	claim = json_loadb(result->data, result->size, 0, NULL);
+	judge_claim(run, claim, result->version);
+	json_decref(claim);
+}
+
+static void read_claim(run_t *run)
+{
+	const mc_store_api_t *api = mc_process_store(run->front->process);
+	claim_call_t *call = make_call(run);
+
+	if (call &&
+	    !api->read(run->front->store, run->claim_name, on_read, call))
+		return;
+	free(call);
+	run_step(run, MC_ONCE_EV_CLAIM_FAILED, MC_ERR_STORE_UNAVAILABLE, NULL);
+}
+
+static void on_created(void *ctx, const mc_store_result_t *result)
+{
+	run_t *run = take_call(ctx);
+
+	if (!run)
+		return;
+	if (!result->err)
+		claim_ours(run, result->version);
+	else if (result->err == MC_ERR_CONFLICT || result->maybe)
+		read_claim(run);
+	else
+		run_step(run, MC_ONCE_EV_CLAIM_FAILED, MC_ERR_STORE_UNAVAILABLE,
+			 NULL);
+}
+
+void claim_create(run_t *run)
+{
+	const mc_store_api_t *api = mc_process_store(run->front->process);
+	char *text = encode(run, "claimed", NULL);
+	claim_call_t *call = make_call(run);
+
+	if (!text || !call ||
+	    api->create(run->front->store, run->claim_name, text, strlen(text),
+			on_created, call)) {
+		free(call);
+		run_step(run, MC_ONCE_EV_CLAIM_FAILED, MC_ERR_STORE_UNAVAILABLE,
+			 NULL);
+	}
+	free(text);
+}
+
+/* Nothing depends on this write: without it the key stays claimed. */
+static void ignore_result(void *ctx, const mc_store_result_t *result)
+{
+	(void)ctx;
+	(void)result;
+}
+
+static void update_claim(run_t *run, const char *state, const char *result)
+{
+	const mc_store_api_t *api = mc_process_store(run->front->process);
+	char *text;
+
+	if (!run->claim_version)
+		return;
+	text = encode(run, state, result);
+	if (text)
+		api->update(run->front->store, run->claim_name,
+			    run->claim_version, text, strlen(text),
+			    ignore_result, NULL);
+	free(text);
+}
+
+void claim_release(run_t *run)
+{
+	update_claim(run, "released", NULL);
+}
+
+void claim_finish(run_t *run, const char *result)
+{
+	if (strlen(result) <= RESULT_MAX)
+		update_claim(run, "done", result);
+}
--- /dev/null
+++ b/src/front/front.c
@@ -0,0 +1,259 @@
+/*
+ * The front's role: its state in each data shard, views, and a planned stop.
+ */
+#include "front_private.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+enum {
+	EXTRAS_BURST = 20,
+	ADMISSION_MIN = 8,
+	CLAIM_TIMEOUT_MS = 1000,
+};
+
+static void front_destroy(void *state)
+{
+	front_t *front = state;
+	uint32_t cursor = 0;
+	mc_handle_t handle;
+	query_t *query;
+
+	while (front->queries &&
+	       (query = mc_table_next(front->queries, &cursor, &handle)))
+		query_free(front, query);
+	run_destroy(front);
+	gather_links_destroy(front);
+	mc_store_destroy(front->store);
+	mc_router_destroy(front->router);
+	mc_catalogue_destroy(front->catalogue);
+	mc_admission_destroy(front->admission);
+	mc_table_destroy(front->queries);
+	mc_table_destroy(front->sub_queries);
+	mc_view_unref(front->view);
+	mc_view_unref(front->evidence_view);
+	free(front->evidence);
+	if (front->pool)
+		apr_pool_destroy(front->pool);
+	free(front);
+}
+
+static void set_policies(front_t *front)
+{
+	const mc_settings_t *settings = mc_process_settings(front->process);
+	const mc_policy_t *policy = &settings->policy;
+	const mc_admission_params_t admission = {
+		.policy = policy->admission,
+		.concurrency = policy->concurrency / settings->shards,
+		.min_concurrency = ADMISSION_MIN,
+	};
+
+	front->admission = mc_admission_create(&admission);
+	front->hedge_policy = mc_hedge_policy(policy->hedge);
+	front->retry_enabled = strcmp(policy->retry, "none") != 0;
+	mc_budget_init(&front->hedges, policy->extra_percent, EXTRAS_BURST);
+	mc_budget_init(&front->retries, policy->extra_percent, EXTRAS_BURST);
+	front->retries.unbounded = !strcmp(policy->retry, "unbounded");
+}
+
+static mc_err_t create_parts(front_t *front)
+{
+	const mc_settings_t *settings = mc_process_settings(front->process);
+
+	if (apr_pool_create(&front->pool, NULL))
+		return mc_fail(MC_ERR_NO_MEMORY, "no memory for a pool");
+	front->latencies = apr_hash_make(front->pool);
+	front->queries = mc_table_create(sizeof(query_t), FRONT_QUERIES_MAX);
+	front->sub_queries =
+		mc_table_create(sizeof(sub_query_t), FRONT_SUB_QUERIES_MAX);
+	front->gathers = mc_table_create(sizeof(gather_link_t), MC_MEMBERS_MAX);
+	front->evidence = calloc(FRONT_EVIDENCE_MAX, sizeof(*front->evidence));
+	front->store = mc_store_create(front->shard, settings->platform,
+				       CLAIM_TIMEOUT_MS);
+	set_policies(front);
+	if (!front->queries || !front->sub_queries || !front->gathers ||
+	    !front->evidence || !front->store || !front->admission)
+		return mc_fail(MC_ERR_NO_MEMORY, "no memory for a front");
+	return run_init(front);
+}
+
+/* Peers reach a front on its control shard, so the first shard opens it. */
+static mc_err_t listen_for_all(front_t *front)
+{
+	const mc_settings_t *settings = mc_process_settings(front->process);
+	mc_err_t err = MC_OK;
+
+	if (!mc_shard_index(front->shard))
+		err = mc_process_listen(front->process, settings->front_peer);
+	if (err)
+		return err;
+	return mc_http_serve(front->shard, mc_process_callers(front->process),
+			     api_request, front);
+}
+
+static void *front_create(mc_process_t *process, mc_shard_t *shard)
+{
+	front_t *front = calloc(1, sizeof(*front));
+	const mc_settings_t *settings = mc_process_settings(process);
+
+	if (!front)
+		return NULL;
+	front->process = process;
+	front->shard = shard;
+	front->log = mc_shard_log(shard);
+	front->confirmed = -MC_VIEW_AGE_MAX_MS;
+	front->config_confirmed = -1;
+	front->own_key =
+		mc_hash_pair(mc_hash_string(settings->front_peer),
+			     (uint64_t)mc_clock_wall(mc_shard_clock(shard)));
+	if (create_parts(front) || listen_for_all(front)) {
+		front_destroy(front);
+		return NULL;
+	}
+	return front;
+}
+
+static void set_shares(front_t *front)
+{
+	const mc_view_t *view = front->view;
+	uint32_t i;
+
+	for (i = 0; i < view->move_count; i++)
+		mc_router_version_share(front->router, view->moves[i].service,
+					view->moves[i].from, view->moves[i].to,
+					view->moves[i].share);
+}
+
+/* The new router starts without sub-queries that the old one counted. */
+static void forget_in_flight(front_t *front)
+{
+	uint32_t cursor = 0;
+	mc_handle_t handle;
+	const sub_query_t *sub;
+
+	while ((sub = mc_table_next(front->sub_queries, &cursor, &handle)))
+		if (sub->router_epoch == front->router_epoch)
+			mc_router_done(front->router, sub->choice, -1);
+}
+
+static mc_router_t *make_router(const front_t *front, const mc_handle_t *rows)
+{
+	const mc_view_t *view = front->view;
+	const mc_policy_t *policy =
+		&mc_process_settings(front->process)->policy;
+	mc_gather_t *gathers = calloc(view->gather_count + 1, sizeof(*gathers));
+	const mc_router_params_t params = {
+		.config = view->config,
+		.policy = mc_route_policy(policy->replica),
+		.owners = policy->owners,
+		.data_center = view->data_center,
+		.gathers = gathers,
+		.gather_count = view->gather_count,
+		.previous = front->router,
+	};
+	mc_router_t *router;
+	uint32_t i;
+
+	for (i = 0; gathers && i < view->gather_count; i++) {
+		const mc_view_gather_t *from = &view->gathers[i];
+		const gather_link_t *link =
+			mc_table_get(front->gathers, rows[i]);
+
+		gathers[i] = (mc_gather_t){
+			.key = from->key,
+			.data_center = from->data_center,
+			.usable = gather_link_usable(front, link),
+		};
+	}
+	router = gathers ? mc_router_create(&params) : NULL;
+	free(gathers);
+	return router;
+}
+
+static void replace_router(front_t *front)
+{
+	mc_handle_t *rows = gather_links_update(front);
+	mc_router_t *router;
+
+	if (!rows)
+		return;
+	if (front->router)
+		forget_in_flight(front);
+	router = make_router(front, rows);
+	if (!router) {
+		free(rows);
+		return;
+	}
+	mc_router_destroy(front->router);
+	front->router = router;
+	front->router_epoch++;
+	free(front->gather_rows);
+	front->gather_rows = rows;
+	set_shares(front);
+	gather_links_drop_absent(front);
+}
+
+static void front_view(void *state, const mc_view_t *view)
+{
+	front_t *front = state;
+	mc_catalogue_t *catalogue =
+		mc_catalogue_create(view->config, front->catalogue);
+
+	if (!catalogue) {
+		mc_view_unref(view);
+		return;
+	}
+	mc_catalogue_destroy(front->catalogue);
+	front->catalogue = catalogue;
+	mc_view_unref(front->view);
+	front->view = view;
+	if (view->config->version && !front->configured_at)
+		front->configured_at = mc_shard_now(front->shard);
+	replace_router(front);
+}
+
+static void front_confirm(void *state, mc_ms_t now, mc_ms_t config_confirmed)
+{
+	front_t *front = state;
+
+	front->confirmed = now;
+	front->config_confirmed = config_confirmed;
+}
+
+static void front_drain(void *state)
+{
+	front_t *front = state;
+
+	front->draining = true;
+}
+
+static void front_close(void *state)
+{
+	front_t *front = state;
+
+	mc_http_serve_stop(front->shard);
+}
+
+static bool front_idle(void *state)
+{
+	const front_t *front = state;
+
+	return !mc_http_exchanges(front->shard);
+}
+
+const mc_role_ops_t *mc_front_ops(void)
+{
+	static const mc_role_ops_t ops = {
+		.name = "front",
+		.role = MC_ROLE_FRONT,
+		.create = front_create,
+		.destroy = front_destroy,
+		.view = front_view,
+		.confirm = front_confirm,
+		.drain = front_drain,
+		.close = front_close,
+		.idle = front_idle,
+	};
+
+	return &ops;
+}
--- /dev/null
+++ b/src/front/query.c
@@ -0,0 +1,275 @@
+/*
+ * The life of a search: admitted, planned, its results merged or tried again,
+ * and answered when it is complete, when nothing more can come, or at its
+ * deadline, with what there is and with its true coverage.
+ */
+#include "front_private.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+enum {
+	/* The answer leaves so long before the caller's deadline. */
+	ANSWER_MARGIN_MS = 3,
+};
+
+void query_free(front_t *front, query_t *query)
+{
+	mc_timer_cancel(front->shard, query->deadline_timer);
+	mc_timer_cancel(front->shard, query->hedge_timer);
+	mc_answer_destroy(query->answer);
+	mc_view_unref(query->view);
+	free(query->slots);
+	free(query->text);
+	mc_table_remove(front->queries, query->handle);
+}
+
+static void count_answer(front_t *front, mc_coverage_t coverage)
+{
+	mc_counters_t *counters = mc_shard_counters(front->shard);
+
+	mc_count(counters, MC_COUNTER_ANSWERS, 1);
+	if (coverage.shards_answered < coverage.shards_total)
+		mc_count(counters, MC_COUNTER_ANSWERS_PARTIAL, 1);
+	mc_count(counters, MC_COUNTER_SHARDS_ANSWERED,
+		 coverage.shards_answered);
+	mc_count(counters, MC_COUNTER_SHARDS_MISSING,
+		 coverage.shards_total - coverage.shards_answered);
+}
+
+/* Without any shard's result there is no answer but an error. */
+static void reply_nothing(front_t *front, const query_t *query)
+{
+	mc_err_t err = query->last_reason;
+
+	if (query->maybe_run || !err)
+		err = MC_ERR_DEADLINE_EXCEEDED;
+	front_reply_error(front, query->exchange, err, "no shard answered", -1);
+}
+
+static void reply_answer(front_t *front, const query_t *query,
+			 mc_coverage_t coverage)
+{
+	char *text = answer_json(query, coverage);
+
+	if (!text) {
+		front_reply_error(front, query->exchange, MC_ERR_NO_MEMORY,
+				  "no memory for the answer", -1);
+		return;
+	}
+	front_reply_json(front, query->exchange, 200, text);
+	free(text);
+	count_answer(front, coverage);
+}
+
+void query_finish(front_t *front, query_t *query)
+{
+	mc_ms_t now = mc_shard_now(front->shard);
+	mc_coverage_t coverage = mc_answer_coverage(query->answer);
+	bool overloaded =
+		query->limited || (query->pending && now >= query->deadline);
+
+	mc_log(front->log, MC_LOG_INFO, "front",
+	       "answer sent request=%s shards=%u/%u ms=%lld", query->id,
+	       coverage.shards_answered, coverage.shards_total,
+	       (long long)(now - query->started));
+	if (query->pending)
+		query->maybe_run = true;
+	if (coverage.shards_answered)
+		reply_answer(front, query, coverage);
+	else
+		reply_nothing(front, query);
+	mc_count_latency(mc_shard_counters(front->shard), now - query->started);
+	mc_admission_leave(front->admission, query->klass, now - query->started,
+			   overloaded, now);
+	plan_cancel(front, query);
+	query_free(front, query);
+}
+
+static void deadline_passed(mc_shard_t *shard, void *arg)
+{
+	query_t *query = arg;
+	uint32_t i;
+
+	(void)shard;
+	query->deadline_timer = MC_HANDLE_NONE;
+	for (i = 0; i < query->slot_count; i++)
+		if (query->slots[i].outstanding)
+			mc_answer_miss(query->answer, i,
+				       MC_ERR_DEADLINE_EXCEEDED);
+	query_finish(query->front, query);
+}
+
+static query_t *make_query(front_t *front, mc_handle_t exchange,
+			   search_request_t *request)
+{
+	mc_ms_t now = mc_shard_now(front->shard);
+	mc_handle_t handle;
+	query_t *query;
+	void *slot;
+
+	if (mc_table_add(front->queries, &handle, &slot))
+		return NULL;
+	query = slot;
+	query->front = front;
+	query->handle = handle;
+	query->exchange = exchange;
+	front_request_id(front, query->id);
+	query->hash = mc_hash_string(query->id);
+	query->klass = request->klass;
+	query->started = now;
+	query->deadline = now + request->time_left - ANSWER_MARGIN_MS;
+	query->limit = request->limit;
+	query->text = request->text;
+	request->text = NULL;
+	query->view = mc_view_ref(front->view);
+	return query;
+}
+
+static void run_query(front_t *front, query_t *query)
+{
+	mc_handle_t handle = query->handle;
+
+	mc_timer_set(front->shard, query->deadline, deadline_passed, query,
+		     &query->deadline_timer);
+	plan_send_all(front, query);
+	query = mc_table_get(front->queries, handle);
+	if (!query)
+		return;
+	if (!query->pending)
+		query_finish(front, query);
+	else
+		hedge_plan(front, query);
+}
+
+static void refuse(front_t *front, mc_handle_t exchange, mc_err_t err,
+		   mc_ms_t retry_after)
+{
+	if (err == MC_ERR_OVERLOADED)
+		mc_count(mc_shard_counters(front->shard),
+			 MC_COUNTER_REFUSALS_OVERLOAD, 1);
+	front_reply_error(front, exchange, err, mc_last_message(), retry_after);
+}
+
+void query_start(front_t *front, mc_handle_t exchange,
+		 search_request_t *request)
+{
+	mc_ms_t now = mc_shard_now(front->shard);
+	mc_ms_t retry_after = -1;
+	query_t *query;
+	mc_err_t err;
+
+	mc_fail(MC_OK, "refused by admission");
+	err = mc_admission_enter(front->admission, request->klass,
+				 request->time_left, now, &retry_after);
+	if (err) {
+		refuse(front, exchange, err, retry_after);
+		return;
+	}
+	query = make_query(front, exchange, request);
+	if (!query) {
+		mc_admission_leave(front->admission, request->klass, 0, true,
+				   now);
+		refuse(front, exchange, MC_ERR_OVERLOADED, -1);
+		return;
+	}
+	mc_fail(MC_OK, "nothing can serve the request");
+	err = plan_parts(front, query, request);
+	if (!err) {
+		run_query(front, query);
+		return;
+	}
+	refuse(front, exchange, err, -1);
+	mc_admission_leave(front->admission, query->klass, 0, false, now);
+	query_free(front, query);
+}
+
+/* Merges a result. Returns MC_OK, or why it does not count. */
+static mc_err_t merge(front_t *front, query_t *query, const sub_query_t *sub,
+		      const mc_wire_result_t *result)
+{
+	mc_ms_t now = mc_shard_now(front->shard);
+	mc_merge_t merged;
+
+	if (result->err)
+		return result->err;
+	merged = mc_answer_merge(query->answer, sub->slot, result->snapshot,
+				 result->hits, result->hit_count);
+	if (merged == MC_MERGE_WRONG_SNAPSHOT) {
+		mc_count(mc_shard_counters(front->shard),
+			 MC_COUNTER_WRONG_SNAPSHOT, 1);
+		return MC_ERR_WRONG_SNAPSHOT;
+	}
+	if (merged == MC_MERGE_TAKEN)
+		latency_book_add(front, query, sub->slot, now - sub->sent_at);
+	return MC_OK;
+}
+
+static void note_failure(front_t *front, query_t *query, const sub_query_t *sub,
+			 mc_err_t err)
+{
+	mc_ms_t now = mc_shard_now(front->shard);
+
+	if (!mc_error_answer(err)->not_run)
+		query->maybe_run = true;
+	if (err == MC_ERR_TARGET_LIMITED || err == MC_ERR_TARGET_SHED)
+		query->limited = true;
+	query->last_reason = err;
+	mc_answer_miss(query->answer, sub->slot, err);
+	if (sub->router_epoch != front->router_epoch)
+		return;
+	if (err == MC_ERR_TARGET_DRAINING)
+		mc_router_target_state(front->router, sub->choice.target,
+				       MC_TARGET_DRAINING, now);
+	else if (err == MC_ERR_NO_TARGET || err == MC_ERR_TARGET_FAILED)
+		mc_router_target_state(front->router, sub->choice.target,
+				       MC_TARGET_FAILED, now);
+}
+
+static void retry(front_t *front, query_t *query, uint32_t slot, mc_err_t err)
+{
+	mc_counters_t *counters = mc_shard_counters(front->shard);
+	mc_ms_t left = query->deadline - mc_shard_now(front->shard);
+
+	if (!front->retry_enabled ||
+	    !mc_retry_wanted(err, query->slots[slot].tries, left))
+		return;
+	if (!mc_budget_spend(&front->retries)) {
+		mc_count(counters, MC_COUNTER_RETRIES_DENIED, 1);
+		return;
+	}
+	if (plan_send_extra(front, query, slot, false))
+		mc_count(counters, MC_COUNTER_RETRIES, 1);
+	else
+		mc_budget_refund(&front->retries);
+}
+
+void query_result(front_t *front, sub_query_t *sub,
+		  const mc_wire_result_t *result)
+{
+	mc_handle_t handle = sub->query;
+	query_t *query = mc_table_get(front->queries, handle);
+	mc_ms_t latency = mc_shard_now(front->shard) - sub->sent_at;
+	uint32_t slot = sub->slot;
+	bool had;
+	mc_err_t err;
+
+	if (!query) {
+		sub_query_end(front, sub, -1);
+		return;
+	}
+	had = mc_answer_has(query->answer, slot);
+	err = merge(front, query, sub, result);
+	evidence_add(front, query->view, sub->choice.target, 0, err, latency);
+	if (err)
+		note_failure(front, query, sub, err);
+	sub_query_end(front, sub, err ? -1 : latency);
+	query->slots[slot].outstanding--;
+	if (!had && (!err || !query->slots[slot].outstanding))
+		query->pending--;
+	if (err && !had && !query->slots[slot].outstanding)
+		retry(front, query, slot, err);
+	query = mc_table_get(front->queries, handle);
+	if (query && !query->pending)
+		query_finish(front, query);
+}
--- /dev/null
+++ b/src/gather/gather.c
@@ -0,0 +1,105 @@
+/*
+ * The gather's role: its state in each data shard, views, and a planned stop.
+ */
+#include "gather_private.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+static void gather_destroy(void *state)
+{
+	gather_t *gather = state;
+
+	targets_destroy(gather);
+	mc_table_destroy(gather->sub_queries);
+	mc_view_unref(gather->view);
+	if (gather->pool)
+		apr_pool_destroy(gather->pool);
+	free(gather);
+}
+
+static mc_err_t create_tables(gather_t *gather)
+{
+	if (apr_pool_create(&gather->pool, NULL))
+		return mc_fail(MC_ERR_NO_MEMORY, "no memory for a pool");
+	gather->targets_by_key = apr_hash_make(gather->pool);
+	gather->sub_queries_by_key = apr_hash_make(gather->pool);
+	gather->targets = mc_table_create(sizeof(target_t), GATHER_TARGETS_MAX);
+	gather->sub_queries =
+		mc_table_create(sizeof(sub_query_t), GATHER_SUB_QUERIES_MAX);
+	if (!gather->targets || !gather->sub_queries)
+		return mc_fail(MC_ERR_NO_MEMORY, "no memory for tables");
+	return MC_OK;
+}
+
+static void *gather_create(mc_process_t *process, mc_shard_t *shard)
+{
+	gather_t *gather = calloc(1, sizeof(*gather));
+
+	if (!gather)
+		return NULL;
+	gather->process = process;
+	gather->shard = shard;
+	gather->log = mc_shard_log(shard);
+	gather->confirmed = -MC_VIEW_AGE_MAX_MS;
+	if (create_tables(gather) || intake_listen(gather)) {
+		gather_destroy(gather);
+		return NULL;
+	}
+	return gather;
+}
+
+static void gather_view(void *state, const mc_view_t *view)
+{
+	gather_t *gather = state;
+
+	mc_view_unref(gather->view);
+	gather->view = view;
+	targets_update(gather);
+}
+
+static void gather_confirm(void *state, mc_ms_t now, mc_ms_t config_confirmed)
+{
+	gather_t *gather = state;
+
+	(void)config_confirmed;
+	gather->confirmed = now;
+}
+
+static void gather_drain(void *state)
+{
+	(void)state;
+}
+
+static void gather_close(void *state)
+{
+	gather_t *gather = state;
+
+	gather->closing = true;
+	mc_link_listen_stop(gather->shard, gather->listener);
+}
+
+static bool gather_idle(void *state)
+{
+	const gather_t *gather = state;
+
+	return !mc_table_count(gather->sub_queries) && !gather->batches &&
+	       !gather->runs;
+}
+
+const mc_role_ops_t *mc_gather_ops(void)
+{
+	static const mc_role_ops_t ops = {
+		.name = "gather",
+		.role = MC_ROLE_GATHER,
+		.create = gather_create,
+		.destroy = gather_destroy,
+		.view = gather_view,
+		.confirm = gather_confirm,
+		.drain = gather_drain,
+		.close = gather_close,
+		.idle = gather_idle,
+	};
+
+	return &ops;
+}
--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -268,6 +268,7 @@
 
 	if (!server->daemon)
 		return;
+	server->stopping = true;
 	fd = MHD_quiesce_daemon(server->daemon);
 	if (fd >= 0)
 		close(fd);
@@ -289,6 +290,9 @@
 	exchange->response = make_response(type, body, body_size);
 	if (!exchange->response)
 		return mc_fail(MC_ERR_NO_MEMORY, "no memory for a reply");
+	if (server->stopping)
+		MHD_add_response_header(exchange->response, "Connection",
+					"close");
 	exchange->status = status;
 	server->open--;
 	if (!exchange->suspended)
--- a/src/net/net_private.h
+++ b/src/net/net_private.h
@@ -77,6 +77,8 @@
 	void *ctx;
 	uint32_t open;
 	bool run_pending;
+	/* Accepts no more; replies close their connections. */
+	bool stopping;
 } http_server_t;
 
 struct mc_shard_t {
@@ -95,6 +97,7 @@
 	timers_t timers;
 	watches_t watches;
 	mc_table_t *links;
+	mc_table_t *listeners;
 	http_client_t client;
 	http_server_t server;
 };
@@ -115,8 +118,6 @@
 
 mc_err_t watches_init(watches_t *watches);
 void watches_destroy(watches_t *watches);
-/* What was passed as @arg for a watch; NULL when the handle is stale. */
-void *watch_arg(mc_shard_t *shard, mc_handle_t watch);
 /* Waits up to @wait ms without the shard's lock. */
 void watches_poll(mc_shard_t *shard, mc_ms_t wait);
 
@@ -126,6 +127,9 @@
 mc_err_t link_accept(mc_shard_t *shard, int fd, const mc_link_events_t *events,
 		     void *ctx);
 
+mc_err_t listeners_init(mc_shard_t *shard);
+void listeners_destroy(mc_shard_t *shard);
+
 mc_err_t http_client_init(mc_shard_t *shard);
 void http_client_destroy(mc_shard_t *shard);
 
--- a/src/net/shard.c
+++ b/src/net/shard.c
@@ -24,6 +24,8 @@
 		err = timers_init(&shard->timers);
 	if (!err)
 		err = links_init(shard);
+	if (!err)
+		err = listeners_init(shard);
 	if (!err)
 		err = http_client_init(shard);
 	if (!err)
@@ -59,6 +61,7 @@
 	call_list_run(&shard->deferred, shard);
 	http_server_destroy(shard);
 	http_client_destroy(shard);
+	listeners_destroy(shard);
 	links_destroy(shard);
 	timers_destroy(&shard->timers);
 	watches_destroy(&shard->watches);
--- a/src/net/watch.c
+++ b/src/net/watch.c
@@ -130,13 +130,6 @@
 	mc_table_remove(watches->table, watch);
 }
 
-void *watch_arg(mc_shard_t *shard, mc_handle_t watch)
-{
-	watch_record_t *record = mc_table_get(shard->watches.table, watch);
-
-	return record ? record->arg : NULL;
-}
-
 static void dispatch(mc_shard_t *shard, const apr_pollfd_t *descriptor)
 {
 	watch_record_t *record;
--- /dev/null
+++ b/src/node/moves.c
@@ -0,0 +1,163 @@
+/*
+ * Evidence and verdicts on version moves. Fronts of one data centre share
+ * their counts while a move goes on; a verdict goes to every process of the
+ * data centre at once and needs no store.
+ */
+#include "node_private.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+typedef struct {
+	mc_node_t *node;
+	const mc_view_t *view;
+	uint32_t count;
+	mc_node_evidence_t list[];
+} evidence_t;
+
+static void send_digest(mc_node_t *node, uint32_t move,
+			const node_peers_t *peers)
+{
+	mc_wire_message_t message = { .kind = MC_WIRE_MOVE };
+
+	mc_mover_digest(node->mover, move, &message.move);
+	node_send_random(node, peers, &message);
+}
+
+static void send_digests(mc_node_t *node)
+{
+	const node_peers_t fronts = {
+		.same_data_center = true,
+		.fronts_only = true,
+		.count = NODE_FANOUT,
+	};
+	uint32_t i;
+
+	if (node->observed == node->observed_sent)
+		return;
+	node->observed_sent = node->observed;
+	for (i = 0; i < mc_mover_count(node->mover); i++)
+		send_digest(node, i, &fronts);
+}
+
+/* A move was taken back here or at a peer: everybody near learns it now. */
+static void spread_verdicts(mc_node_t *node)
+{
+	const node_peers_t all_near = {
+		.same_data_center = true,
+		.count = MC_MEMBERS_MAX,
+	};
+	const node_peers_t far = { .count = NODE_FANOUT };
+	mc_move_status_t status;
+	uint32_t i;
+
+	for (i = 0; i < mc_mover_count(node->mover); i++) {
+		mc_mover_status(node->mover, i, &status);
+		if (status.state != MC_MOVE_TAKEN_BACK)
+			continue;
+		send_digest(node, i, &all_near);
+		send_digest(node, i, &far);
+		mc_log(node->log, MC_LOG_WARNING, "move",
+		       "version taken back service=%s reason=\"%s\"",
+		       node->config->services[status.service].name,
+		       status.reason);
+		mc_count(mc_shard_counters(node->shard),
+			 MC_COUNTER_MOVES_TAKEN_BACK, 1);
+	}
+}
+
+static uint32_t taken_back(const mc_node_t *node)
+{
+	mc_move_status_t status;
+	uint32_t count = 0;
+	uint32_t i;
+
+	for (i = 0; i < mc_mover_count(node->mover); i++) {
+		mc_mover_status(node->mover, i, &status);
+		if (status.state == MC_MOVE_TAKEN_BACK)
+			count++;
+	}
+	return count;
+}
+
+static void judge(mc_node_t *node)
+{
+	mc_ms_t wall = mc_clock_wall(mc_shard_clock(node->shard));
+	uint32_t before = taken_back(node);
+
+	if (!mc_mover_tick(node->mover, wall))
+		return;
+	if (taken_back(node) > before)
+		spread_verdicts(node);
+	node_publish(node);
+}
+
+void node_moves_tick(mc_node_t *node)
+{
+	if (!mc_mover_count(node->mover))
+		return;
+	judge(node);
+	send_digests(node);
+}
+
+void node_moves_receive(mc_node_t *node, const mc_move_digest_t *digest)
+{
+	mc_ms_t wall = mc_clock_wall(mc_shard_clock(node->shard));
+
+	if (mc_mover_merge(node->mover, digest, wall)) {
+		spread_verdicts(node);
+		node_publish(node);
+	}
+}
+
+/* Rows of the evidence are of the view that the observer had. */
+static void observe_one(mc_node_t *node, const mc_config_t *config,
+			const mc_node_evidence_t *evidence, mc_ms_t wall)
+{
+	mc_row_t service = evidence->service;
+
+	if (config != node->config)
+		service = mc_config_find_service(
+			node->config, config->services[service].name);
+	if (service == MC_ROW_NONE)
+		return;
+	mc_mover_observe(
+		node->mover, service, config->targets[evidence->target].version,
+		evidence->route, evidence->failed, evidence->latency, wall);
+	node->observed++;
+}
+
+static void run_observe(mc_shard_t *shard, void *arg)
+{
+	evidence_t *evidence = arg;
+	mc_node_t *node = evidence->node;
+	mc_ms_t wall = mc_clock_wall(mc_shard_clock(shard));
+	uint32_t i;
+
+	if (mc_mover_count(node->mover)) {
+		for (i = 0; i < evidence->count; i++)
+			observe_one(node, evidence->view->config,
+				    &evidence->list[i], wall);
+		judge(node);
+	}
+	mc_view_unref(evidence->view);
+	free(evidence);
+}
+
+void mc_node_observe(mc_node_t *node, const mc_view_t *view,
+		     const mc_node_evidence_t *list, uint32_t count)
+{
+	evidence_t *evidence =
+		malloc(sizeof(*evidence) + count * sizeof(*list));
+
+	if (!evidence)
+		return;
+	evidence->node = node;
+	evidence->view = mc_view_ref(view);
+	evidence->count = count;
+	memcpy(evidence->list, list, count * sizeof(*list));
+	if (mc_shard_post(node->shard, run_observe, evidence)) {
+		mc_view_unref(view);
+		free(evidence);
+	}
+}
--- /dev/null
+++ b/src/node/node.c
@@ -0,0 +1,259 @@
+/*
+ * The node's life: creation, its timers, messages from peers, and leaving.
+ */
+#include "node_private.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+enum {
+	PROBE_INTERVAL_MS = 500,
+	PROBE_TIMEOUT_MS = 250,
+	SUSPECT_TIME_MS = 2000,
+	STORE_TICK_MS = 250,
+	PRUNE_INTERVAL_MS = 5000,
+};
+
+static void member_send(void *ctx, const char *address,
+			const mc_member_message_t *message)
+{
+	mc_node_t *node = ctx;
+	const mc_wire_message_t wire = {
+		.kind = MC_WIRE_MEMBER,
+		.member = *message,
+	};
+
+	if (message->kind == MC_MEMBER_PING)
+		mc_count(mc_shard_counters(node->shard), MC_COUNTER_PROBES, 1);
+	node_send(node, address, &wire);
+}
+
+static void member_changed(void *ctx)
+{
+	node_publish(ctx);
+}
+
+static void tick_members(mc_shard_t *shard, void *arg)
+{
+	mc_node_t *node = arg;
+	mc_ms_t next =
+		mc_membership_tick(node->membership, mc_shard_now(shard));
+
+	mc_timer_set(shard, next, tick_members, node, &node->member_timer);
+}
+
+static void tick_store(mc_shard_t *shard, void *arg)
+{
+	mc_node_t *node = arg;
+	mc_handle_t timer;
+
+	node_store_tick(node);
+	mc_timer_set(shard, mc_shard_now(shard) + STORE_TICK_MS, tick_store,
+		     node, &timer);
+}
+
+static void tick_digest(mc_shard_t *shard, void *arg)
+{
+	mc_node_t *node = arg;
+	mc_handle_t timer;
+
+	if (node->config->version)
+		node_config_tell(node);
+	node_moves_tick(node);
+	mc_timer_set(shard, mc_shard_now(shard) + NODE_DIGEST_INTERVAL_MS,
+		     tick_digest, node, &timer);
+}
+
+/*
+ * The view is confirmed only while the membership trusts itself, so that after
+ * a pause no shard acts on what was known before it. The membership is told the
+ * time first, as it finds a pause by it.
+ */
+static void tick_confirm(mc_shard_t *shard, void *arg)
+{
+	mc_node_t *node = arg;
+	mc_ms_t now = mc_shard_now(shard);
+	mc_handle_t timer;
+
+	mc_membership_tick(node->membership, now);
+	if (mc_membership_fresh(node->membership))
+		node->params.confirm(node->params.ctx, now, node->confirmed);
+	mc_timer_set(shard, now + NODE_CONFIRM_INTERVAL_MS, tick_confirm, node,
+		     &timer);
+}
+
+static void tick_prune(mc_shard_t *shard, void *arg)
+{
+	mc_node_t *node = arg;
+	mc_handle_t timer;
+
+	node_links_prune(node);
+	mc_timer_set(shard, mc_shard_now(shard) + PRUNE_INTERVAL_MS, tick_prune,
+		     node, &timer);
+}
+
+static void first_turn(mc_shard_t *shard, void *arg)
+{
+	mc_node_t *node = arg;
+	const mc_settings_t *settings = node->params.settings;
+	uint32_t i;
+
+	for (i = 0; i < settings->peer_count; i++) {
+		if (!strcmp(settings->peers[i], node->address))
+			continue;
+		mc_membership_hint(node->membership, settings->peers[i],
+				   mc_shard_now(shard));
+		node_config_ask(node, settings->peers[i]);
+	}
+	node_publish(node);
+	tick_members(shard, node);
+	tick_store(shard, node);
+	tick_digest(shard, node);
+	tick_confirm(shard, node);
+	tick_prune(shard, node);
+}
+
+static mc_member_params_t member_params(mc_node_t *node)
+{
+	const mc_settings_t *settings = node->params.settings;
+	mc_member_params_t params = {
+		.self.gather = node->params.role == MC_ROLE_GATHER,
+		.probe_interval = PROBE_INTERVAL_MS,
+		.probe_timeout = PROBE_TIMEOUT_MS,
+		.suspect_time = SUSPECT_TIME_MS,
+		.seed = mc_hash_pair(settings->seed,
+				     mc_hash_string(node->address)),
+		.send = member_send,
+		.changed = member_changed,
+		.ctx = node,
+	};
+
+	strncpy(params.self.address, node->address,
+		sizeof(params.self.address) - 1);
+	strncpy(params.self.data_center, settings->data_center,
+		sizeof(params.self.data_center) - 1);
+	return params;
+}
+
+static mc_err_t create_parts(mc_node_t *node)
+{
+	const mc_member_params_t params = member_params(node);
+	mc_ms_t now = mc_shard_now(node->shard);
+
+	if (apr_pool_create(&node->pool, NULL))
+		return MC_ERR_NO_MEMORY;
+	node->links = apr_hash_make(node->pool);
+	node->config = mc_config_empty();
+	node->membership = mc_membership_create(&params, now);
+	node->mover = mc_mover_create(mc_hash_string(node->address));
+	node->store.client =
+		mc_store_create(node->shard, node->params.settings->platform,
+				NODE_CALL_TIMEOUT_MS);
+	if (!node->membership || !node->mover || !node->store.client)
+		return mc_fail(MC_ERR_NO_MEMORY, "no memory for a node");
+	return mc_shard_post(node->shard, first_turn, node);
+}
+
+mc_node_t *mc_node_create(const mc_node_params_t *params)
+{
+	mc_node_t *node = calloc(1, sizeof(*node));
+
+	if (!node)
+		return NULL;
+	node->params = *params;
+	node->shard = params->shard;
+	node->log = mc_shard_log(params->shard);
+	node->confirmed = -1;
+	node->address = params->role == MC_ROLE_GATHER
+				? params->settings->gather_peer
+				: params->settings->front_peer;
+	if (create_parts(node)) {
+		mc_node_destroy(node);
+		return NULL;
+	}
+	return node;
+}
+
+void mc_node_destroy(mc_node_t *node)
+{
+	if (!node)
+		return;
+	if (node->links)
+		node_links_close(node);
+	mc_store_destroy(node->store.client);
+	mc_mover_destroy(node->mover);
+	mc_membership_destroy(node->membership);
+	if (node->config)
+		mc_config_unref(node->config);
+	free(node->config_text);
+	if (node->pool)
+		apr_pool_destroy(node->pool);
+	free(node);
+}
+
+bool mc_node_wants(mc_wire_kind_t kind)
+{
+	switch (kind) {
+	case MC_WIRE_MEMBER:
+	case MC_WIRE_CONFIG:
+	case MC_WIRE_CONFIG_DIGEST:
+	case MC_WIRE_CONFIG_REQUEST:
+	case MC_WIRE_MOVE:
+		return true;
+	default:
+		return false;
+	}
+}
+
+typedef struct {
+	mc_node_t *node;
+	mc_wire_message_t *message;
+} received_t;
+
+static void run_receive(mc_shard_t *shard, void *arg)
+{
+	received_t *received = arg;
+	mc_node_t *node = received->node;
+	const mc_wire_message_t *message = received->message;
+
+	switch (message->kind) {
+	case MC_WIRE_MEMBER:
+		mc_membership_receive(node->membership, &message->member,
+				      mc_shard_now(shard));
+		break;
+	case MC_WIRE_MOVE:
+		node_moves_receive(node, &message->move);
+		break;
+	default:
+		node_config_receive(node, message);
+	}
+	mc_wire_free(received->message);
+	free(received);
+}
+
+void mc_node_receive(mc_node_t *node, mc_wire_message_t *message)
+{
+	received_t *received = malloc(sizeof(*received));
+
+	if (!received) {
+		mc_wire_free(message);
+		return;
+	}
+	*received = (received_t){ .node = node, .message = message };
+	if (mc_shard_post(node->shard, run_receive, received)) {
+		mc_wire_free(message);
+		free(received);
+	}
+}
+
+static void run_leave(mc_shard_t *shard, void *arg)
+{
+	mc_node_t *node = arg;
+
+	mc_membership_leave(node->membership, mc_shard_now(shard));
+}
+
+void mc_node_leave(mc_node_t *node)
+{
+	mc_shard_post(node->shard, run_leave, node);
+}
--- /dev/null
+++ b/src/node/store_watch.c
@@ -0,0 +1,233 @@
+/*
+ * Reads the configuration from the store. A few processes of each data centre
+ * watch it; the others read for themselves only when they have heard nothing
+ * from a watcher for some time, with jitter, so that calls to the store do not
+ * grow with the fleet. Watchers also read the platform's list of instances,
+ * which is a hint of whom to probe, and write verdicts on moves.
+ */
+#include "node_private.h"
+
+#include <jansson.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum {
+	WATCH_WAIT_MS = 2000,
+	RETRY_MIN_MS = 250,
+	RETRY_MAX_MS = 4000,
+	RETRY_DOUBLINGS_MAX = 4,
+	/* A process that heard of no confirmation for so long reads. */
+	FALLBACK_AFTER_MS = 5000,
+	FALLBACK_JITTER_MS = 5000,
+	LIST_INTERVAL_MS = 10000,
+	VERDICT_RETRY_MS = 1000,
+	SUBMISSION_SIZE = 64,
+};
+
+static mc_ms_t jittered(mc_node_t *node, mc_ms_t least, mc_ms_t spread)
+{
+	return least + (mc_ms_t)mc_random_below(mc_shard_random(node->shard),
+						(uint32_t)spread);
+}
+
+static void count_call(mc_node_t *node, mc_err_t err)
+{
+	node_store_t *store = &node->store;
+	mc_ms_t wait = RETRY_MIN_MS << store->failures;
+
+	if (err != MC_ERR_STORE_UNAVAILABLE) {
+		store->failures = 0;
+		return;
+	}
+	if (store->failures < RETRY_DOUBLINGS_MAX)
+		store->failures++;
+	store->retry_at =
+		mc_shard_now(node->shard) + jittered(node, wait, wait);
+	if (wait >= RETRY_MAX_MS)
+		return;
+	mc_log(node->log, MC_LOG_WARNING, "store",
+	       "store unavailable failures=%u", store->failures);
+}
+
+/* A read or a watch told what the store holds now. */
+static void take_config(mc_node_t *node, const mc_store_result_t *result)
+{
+	mc_ms_t now = mc_shard_now(node->shard);
+
+	count_call(node, result->err);
+	if (result->err == MC_OK) {
+		node_config_adopt(node, result->data, result->size,
+				  result->version, "store");
+		node_config_confirm(node, result->version, 0);
+	} else if (result->err == MC_ERR_TIMED_OUT) {
+		node_config_confirm(node, node->config->version, 0);
+	} else if (result->err == MC_ERR_NOT_FOUND) {
+		node->store.retry_at =
+			now + jittered(node, RETRY_MIN_MS, RETRY_MIN_MS);
+	}
+}
+
+static void on_watch(void *ctx, const mc_store_result_t *result)
+{
+	mc_node_t *node = ctx;
+
+	node->store.watching = false;
+	take_config(node, result);
+	node_store_tick(node);
+}
+
+static void on_read(void *ctx, const mc_store_result_t *result)
+{
+	mc_node_t *node = ctx;
+
+	node->store.reading = false;
+	take_config(node, result);
+}
+
+static void start_watch(mc_node_t *node)
+{
+	node_store_t *store = &node->store;
+
+	store->watching = !node->params.store->watch(
+		store->client, MC_STORE_CONFIG, node->config->version,
+		WATCH_WAIT_MS, on_watch, node);
+}
+
+static void start_read(mc_node_t *node)
+{
+	node_store_t *store = &node->store;
+
+	store->reading = !node->params.store->read(
+		store->client, MC_STORE_CONFIG, on_read, node);
+	store->read_at = mc_shard_now(node->shard) +
+			 jittered(node, FALLBACK_AFTER_MS, FALLBACK_JITTER_MS);
+}
+
+static const char *port_of(const char *address)
+{
+	const char *colon = strrchr(address, ':');
+
+	return colon ? colon : "";
+}
+
+/*
+ * An entry without a port names an instance; its processes have the ports of
+ * this one.
+ */
+static void hint_instance(mc_node_t *node, const char *address)
+{
+	const mc_settings_t *settings = node->params.settings;
+	const char *ports[] = {
+		port_of(settings->front_peer),
+		port_of(settings->gather_peer),
+	};
+	mc_ms_t now = mc_shard_now(node->shard);
+	char full[MC_ADDRESS_SIZE];
+	size_t i;
+
+	if (strchr(address, ':')) {
+		mc_membership_hint(node->membership, address, now);
+		return;
+	}
+	for (i = 0; i < MC_ARRAY_LEN(ports); i++) {
+		if (!*ports[i])
+			continue;
+		snprintf(full, sizeof(full), "%s%s", address, ports[i]);
+		mc_membership_hint(node->membership, full, now);
+	}
+}
+
+static void on_list(void *ctx, const mc_store_result_t *result)
+{
+	mc_node_t *node = ctx;
+	json_t *list;
+	json_t *entry;
+	size_t i;
+
+	node->store.listing = false;
+	if (result->err)
+		return;
+	list = json_loadb(result->data, result->size, 0, NULL);
+	json_array_foreach(list, i, entry)
+	{
+		const char *address =
+			json_string_value(json_object_get(entry, "address"));
+		const char *state =
+			json_string_value(json_object_get(entry, "state"));
+
+		if (address && (!state || strcmp(state, "leaving")))
+			hint_instance(node, address);
+	}
+	json_decref(list);
+}
+
+static void start_list(mc_node_t *node)
+{
+	node_store_t *store = &node->store;
+
+	store->listing =
+		!node->params.store->list(store->client, on_list, node);
+	store->list_at = mc_shard_now(node->shard) +
+			 jittered(node, LIST_INTERVAL_MS, LIST_INTERVAL_MS / 2);
+}
+
+static void on_verdict(void *ctx, const mc_store_result_t *result)
+{
+	mc_node_t *node = ctx;
+
+	node->store.writing = false;
+	mc_log(node->log, MC_LOG_NOTICE, "move",
+	       "verdict written result=%s version=%llu",
+	       mc_error_name(result->err), (unsigned long long)result->version);
+}
+
+/* Writes a verdict that the configuration in force does not show yet. */
+static void write_verdict(mc_node_t *node)
+{
+	node_store_t *store = &node->store;
+	char submission[SUBMISSION_SIZE];
+	const mc_config_t *marked, *named;
+	mc_row_t move;
+	char *text;
+
+	if (!mc_mover_verdict(node->mover, node->config, &move) ||
+	    mc_config_with_taken_back(node->config, move, &marked))
+		return;
+	store->write_at = mc_shard_now(node->shard) +
+			  jittered(node, VERDICT_RETRY_MS, VERDICT_RETRY_MS);
+	snprintf(submission, sizeof(submission), "taken-back-%llu-%016llx",
+		 (unsigned long long)node->config->version,
+		 (unsigned long long)mc_hash_string(node->address));
+	if (!mc_config_with_submission(marked, submission, &named)) {
+		if (!mc_config_print(named, &text)) {
+			store->writing = !node->params.store->update(
+				store->client, MC_STORE_CONFIG,
+				node->config->version, text, strlen(text),
+				on_verdict, node);
+			free(text);
+		}
+		mc_config_unref(named);
+	}
+	mc_config_unref(marked);
+}
+
+void node_store_tick(mc_node_t *node)
+{
+	node_store_t *store = &node->store;
+	mc_ms_t now = mc_shard_now(node->shard);
+	bool watcher = mc_membership_watcher(node->membership, NODE_WATCHERS);
+
+	if (now < store->retry_at)
+		return;
+	if (watcher && !store->watching)
+		start_watch(node);
+	if (watcher && !store->listing && now >= store->list_at)
+		start_list(node);
+	if (watcher && !store->writing && now >= store->write_at)
+		write_verdict(node);
+	if (store->watching || store->reading || now < store->read_at)
+		return;
+	if (node->confirmed < 0 || now - node->confirmed > FALLBACK_AFTER_MS)
+		start_read(node);
+}
--- /dev/null
+++ b/src/node/view.c
@@ -0,0 +1,119 @@
+/*
+ * Builds the immutable views that a node publishes.
+ */
+#include "node_private.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+const mc_view_t *mc_view_ref(const mc_view_t *view)
+{
+	mc_view_t *counted = (mc_view_t *)(uintptr_t)view;
+
+	__atomic_add_fetch(&counted->references, 1, __ATOMIC_RELAXED);
+	return view;
+}
+
+void mc_view_unref(const mc_view_t *view)
+{
+	mc_view_t *counted = (mc_view_t *)(uintptr_t)view;
+
+	if (!view ||
+	    __atomic_sub_fetch(&counted->references, 1, __ATOMIC_ACQ_REL))
+		return;
+	mc_config_unref(counted->config);
+	free(counted->gathers);
+	free(counted->moves);
+	free(counted);
+}
+
+static void add_gather(const mc_node_t *node, mc_view_t *view,
+		       const mc_member_t *member)
+{
+	mc_view_gather_t *gather = &view->gathers[view->gather_count++];
+
+	*gather = (mc_view_gather_t){
+		.key = member->key,
+		.data_center = mc_config_find_data_center(node->config,
+							  member->data_center),
+		.usable = mc_member_usable(member),
+	};
+	memcpy(gather->address, member->address, sizeof(gather->address));
+}
+
+static mc_err_t add_members(const mc_node_t *node, mc_view_t *view)
+{
+	const mc_member_t *member;
+	uint32_t cursor = 0;
+	uint32_t gathers = 0;
+
+	while ((member = mc_membership_next(node->membership, &cursor))) {
+		view->members++;
+		view->members_usable += mc_member_usable(member);
+		gathers += member->gather;
+	}
+	view->gathers = calloc(gathers + 1, sizeof(*view->gathers));
+	if (!view->gathers)
+		return MC_ERR_NO_MEMORY;
+	cursor = 0;
+	while ((member = mc_membership_next(node->membership, &cursor)))
+		if (member->gather && member->state != MC_MEMBER_DEAD)
+			add_gather(node, view, member);
+	return MC_OK;
+}
+
+static mc_err_t add_moves(const mc_node_t *node, mc_view_t *view)
+{
+	uint32_t count = mc_mover_count(node->mover);
+	uint32_t i;
+
+	view->moves = calloc(count + 1, sizeof(*view->moves));
+	if (!view->moves)
+		return MC_ERR_NO_MEMORY;
+	for (i = 0; i < count; i++) {
+		mc_view_move_t *move = &view->moves[view->move_count];
+		const char *from, *to;
+		mc_move_status_t status;
+
+		mc_mover_status(node->mover, i, &status);
+		move->service = status.service;
+		move->state = status.state;
+		move->share =
+			mc_mover_share(node->mover, status.service, &from, &to);
+		memcpy(move->reason, status.reason, sizeof(move->reason));
+		if (!from)
+			continue;
+		strncpy(move->from, from, sizeof(move->from) - 1);
+		strncpy(move->to, to, sizeof(move->to) - 1);
+		view->move_count++;
+	}
+	return MC_OK;
+}
+
+static void publish_now(mc_shard_t *shard, void *arg)
+{
+	mc_node_t *node = arg;
+	mc_view_t *view = calloc(1, sizeof(*view));
+
+	(void)shard;
+	node->publish_pending = false;
+	if (!view)
+		return;
+	view->references = 1;
+	view->config = mc_config_ref(node->config);
+	view->data_center = mc_config_find_data_center(
+		node->config, node->params.settings->data_center);
+	if (add_members(node, view) || add_moves(node, view)) {
+		mc_view_unref(view);
+		return;
+	}
+	node->params.publish(node->params.ctx, view);
+}
+
+void node_publish(mc_node_t *node)
+{
+	if (node->publish_pending)
+		return;
+	node->publish_pending = true;
+	mc_shard_defer(node->shard, publish_now, node);
+}
--- a/src/wire/config_codec.c
+++ b/src/wire/config_codec.c
@@ -4,7 +4,7 @@
 #include "codec.h"
 
 enum {
-	CONFIG_FIELDS = 2,
+	CONFIG_FIELDS = 4,
 	MOVE_FIELDS = 5,
 	/* A move's versions: the old one and the new one. */
 	MOVE_VERSIONS = 2,
@@ -15,12 +15,16 @@
 {
 	mc_write_u64(writer, message->config.version);
 	mc_write_string(writer, message->config.text);
+	mc_write_string(writer, message->config.from);
+	mc_write_ms(writer, message->config.age);
 }
 
 static void decode_config(mc_reader_t *reader, mc_wire_message_t *message)
 {
 	message->config.version = mc_read_u64(reader);
 	message->config.text = mc_read_string(reader, MC_CONFIG_TEXT_MAX + 1);
+	message->config.from = mc_read_string(reader, MC_MEMBER_ADDRESS_SIZE);
+	message->config.age = mc_read_ms(reader);
 }
 
 static void encode_counts(mc_writer_t *writer, const mc_move_counts_t *counts)
--- a/src/wire/include/mc/wire.h
+++ b/src/wire/include/mc/wire.h
@@ -177,10 +177,15 @@
  * struct mc_wire_config_t - a configuration; also a digest or a request
  * @version: the store's version
  * @text: canonical TOML; "" in a digest or a request
+ * @from: where peers reach the sender
+ * @age: time since the store confirmed @version as the newest, ms; -1 when it
+ *	never did
  */
 typedef struct mc_wire_config_t {
 	uint64_t version;
 	const char *text;
+	const char *from;
+	mc_ms_t age;
 } mc_wire_config_t;
 
 /**
--- a/tests/fuzz/wire_fuzz.c
+++ b/tests/fuzz/wire_fuzz.c
@@ -30,9 +30,9 @@
 	[MC_WIRE_RUN] = "nsssnst",
 	[MC_WIRE_RUN_RESULT] = "nks",
 	[MC_WIRE_MEMBER] = "knn(nssbknt)*(nssbknt)",
-	[MC_WIRE_CONFIG] = "ns",
-	[MC_WIRE_CONFIG_DIGEST] = "ns",
-	[MC_WIRE_CONFIG_REQUEST] = "ns",
+	[MC_WIRE_CONFIG] = "nsst",
+	[MC_WIRE_CONFIG_DIGEST] = "nsst",
+	[MC_WIRE_CONFIG_REQUEST] = "nsst",
 	[MC_WIRE_MOVE] = "nnbs8(nnnnnnnnnnnnnnnnnn)",
 };
 
--- a/tests/unit/wire_test.c
+++ b/tests/unit/wire_test.c
@@ -146,7 +146,7 @@
 		{ "\x92\x04\xdd\xff\xff\xff\xff\x01", 8 },
 		{ "\x92\x04\x91\xff", 4 },
 		/* CONFIG whose text holds a zero. */
-		{ "\x93\x09\x01\xa2x\0", 6 },
+		{ "\x95\x09\x01\xa2x\0\xa0\x01", 8 },
 		/* RESULT with a score that is no number. */
 		{ "\x92\x03\x91\x95\x01\x00\xa0\x01\x91\x92\xa1x"
 		  "\xcb\x7f\xf8\0\0\0\0\0\0",
