--- a/src/wire/include/mc/wire.h
+++ b/src/wire/include/mc/wire.h
@@ -177,10 +177,15 @@
  * struct mc_wire_config_t - a configuration; also a digest or a request
  * @version: the store's version
  * @text: canonical TOML; "" in a digest or a request
+ * @from: where peers reach the sender
+ * @age: time since the store confirmed @version as the newest, ms; -1 when it
+ *	never did
  */
 typedef struct mc_wire_config_t {
 	uint64_t version;
 	const char *text;
+	const char *from;
+	mc_ms_t age;
 } mc_wire_config_t;
 
 /**
@@ -206,7 +211,7 @@
 
 /**
  * mc_wire_encode() - bytes of a message
- * @message: the message
+ * @message: the message, within the bounds above; NULL strings count as ""
  * @data: receives the bytes, to be freed with free()
  * @size: receives their number
  *
@@ -223,8 +228,8 @@
  *	mc_wire_free()
  *
  * Strings are zero-terminated and hold no other zero byte. Counts above the
- * bounds, missing or extra fields, wrong kinds and scores that are no numbers
- * are refused.
+ * bounds, missing or extra fields, wrong kinds and scores that are not
+ * finite are refused.
  *
  * Return: MC_OK, MC_ERR_BAD_FRAME, MC_ERR_NO_MEMORY.
  */
