Add a load tool and its first scenario, steady

Ruled out: a closed loop of callers, as a straggler would slow the callers and hide itself; waits rounded to milliseconds, as a local answer takes few of them. Reading each answer while the load runs was ruled out too: it would delay the next request.

Change: bench/ is one program.

--- a/Makefile
+++ b/Makefile
@@ -10,8 +10,14 @@
 SANITIZERS = address,undefined
 
 
+# What "make bench" runs: a scenario or all, the length of each load and the
+# searches per second of the scenarios that have one rate.
+SCENARIO ?= all
+SECONDS ?= 8
+RATE ?= 100
+
 .PHONY: all packages build build-fuzz test test-fuzz check lint format fuzz \
-	check-sanitize demo clean
+	check-sanitize demo bench clean
 
 all: build
 
@@ -48,6 +54,13 @@
 demo: packages build
 	@bash tools/demo $(BUILD)
 
+# Measures an installation under load; tables on standard output, and
+# bench/out/SCENARIO.csv.
+bench: build
+	@mkdir -p bench/out
+	@cd $(BUILD) && ./bench/bench $(SCENARIO) $(SECONDS) $(RATE) \
+		"$(CURDIR)/bench/out"
+
 fuzz: build-fuzz
 	@for f in $(BUILD)-fuzz/tests/fuzz/*_fuzz; do \
 		$$f -seed=$$(date +%s) -runs=$(FUZZ_RUNS) -max_len=2048 \
--- /dev/null
+++ b/bench/bench.c
@@ -0,0 +1,74 @@
+/*
+ * Runs scenarios against an installation on the loopback address and writes a
+ * table to standard output and a CSV file per scenario.
+ */
+#include <curl/curl.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "scenario.h"
+
+enum {
+	ARGUMENTS = 5,
+	SECONDS_MAX = 300,
+	RATE_MAX = 5000,
+};
+
+static const scenario_t scenarios[] = {
+	{ "steady", "answer time and cost without faults", scenario_steady },
+};
+
+static int run_scenario(const scenario_t *scenario, const char *folder,
+			double seconds, double rate)
+{
+	bench_t bench = {
+		.seconds = seconds,
+		.rate = rate,
+		.report = report_open(folder, scenario->name, scenario->title),
+	};
+
+	if (!bench.report) {
+		fprintf(stderr, "bench: can't write to %s\n", folder);
+		return EXIT_FAILURE;
+	}
+	scenario->run(&bench);
+	report_close(bench.report);
+	return EXIT_SUCCESS;
+}
+
+static int show_usage(void)
+{
+	size_t i;
+
+	fprintf(stderr,
+		"usage: bench SCENARIO|all SECONDS RATE FOLDER\n"
+		"SECONDS: 1 to %d; RATE: 1 to %d searches per second\n",
+		SECONDS_MAX, RATE_MAX);
+	for (i = 0; i < MC_ARRAY_LEN(scenarios); i++)
+		fprintf(stderr, "  %-10s %s\n", scenarios[i].name,
+			scenarios[i].title);
+	return EXIT_FAILURE;
+}
+
+int main(int argc, char **argv)
+{
+	double seconds = argc == ARGUMENTS ? strtod(argv[2], NULL) : 0;
+	double rate = argc == ARGUMENTS ? strtod(argv[3], NULL) : 0;
+	int status = EXIT_SUCCESS;
+	bool found = false;
+	bool all;
+	size_t i;
+
+	if (seconds < 1 || seconds > SECONDS_MAX || rate < 1 || rate > RATE_MAX)
+		return show_usage();
+	curl_global_init(CURL_GLOBAL_ALL);
+	all = !strcmp(argv[1], "all");
+	for (i = 0; i < MC_ARRAY_LEN(scenarios) && !status; i++) {
+		if (!all && strcmp(argv[1], scenarios[i].name) != 0)
+			continue;
+		found = true;
+		status = run_scenario(&scenarios[i], argv[4], seconds, rate);
+	}
+	return found ? status : show_usage();
+}
--- a/tests/system/cluster.c
+++ b/tests/system/cluster.c
@@ -57,27 +57,60 @@
 		 harness_read_port(cluster->harness, cluster->platform));
 }
 
+static uint32_t at_least_one(uint32_t count)
+{
+	return count ? count : 1;
+}
+
+/* Starts a process that serves @count targets from the row @first on. */
+static void start_target_process(cluster_t *cluster, uint32_t first,
+				 uint32_t count)
+{
+	char name[NAME_SIZE], number[NAME_SIZE];
+	const char *argv[] = { STANDIN_TARGET, "--count", number, NULL };
+	mc_handle_t process;
+	uint32_t i;
+
+	snprintf(name, sizeof(name), "target-dc%u-%u",
+		 cluster->targets[first].data_center, first);
+	snprintf(number, sizeof(number), "%u", count);
+	process = harness_start(cluster->harness, name, argv);
+	for (i = first; i < first + count; i++) {
+		cluster->targets[i].process = process;
+		snprintf(cluster->targets[i].url,
+			 sizeof(cluster->targets[i].url), "http://127.0.0.1:%u",
+			 harness_read_port(cluster->harness, process));
+	}
+}
+
 static void start_targets(cluster_t *cluster)
 {
 	const cluster_params_t *params = &cluster->params;
-	const char *argv[] = { STANDIN_TARGET, NULL };
-	cluster_target_t *target;
-	char name[NAME_SIZE];
+	uint32_t step = at_least_one(params->targets_per_process);
+	uint32_t each = params->shards * at_least_one(params->replicas);
+	uint32_t count = params->data_centers * each;
 	uint32_t i;
 
-	cluster->target_count = params->data_centers * params->shards;
-	assert_in_range(cluster->target_count, 1, CLUSTER_TARGETS_MAX);
-	for (i = 0; i < cluster->target_count; i++) {
-		target = &cluster->targets[i];
-		target->data_center = i / params->shards;
-		target->shard = i % params->shards;
-		snprintf(name, sizeof(name), "target-dc%u-%u",
-			 target->data_center, target->shard);
-		target->process = harness_start(cluster->harness, name, argv);
-		snprintf(target->url, sizeof(target->url),
-			 "http://127.0.0.1:%u",
-			 harness_read_port(cluster->harness, target->process));
+	assert_in_range(count, 1, CLUSTER_TARGETS_MAX);
+	cluster->target_count = count;
+	for (i = 0; i < count; i++) {
+		cluster->targets[i].data_center = i / each;
+		cluster->targets[i].shard = i % params->shards;
 	}
+	for (i = 0; i < count; i += step)
+		start_target_process(cluster, i,
+				     count - i < step ? count - i : step);
+}
+
+void cluster_start_target(cluster_t *cluster, cluster_target_t *target)
+{
+	const char *port = strrchr(target->url, ':') + 1;
+	const char *argv[] = { STANDIN_TARGET, "--port", port, NULL };
+	char name[NAME_SIZE];
+
+	snprintf(name, sizeof(name), "target-again-%s", port);
+	target->process = harness_start(cluster->harness, name, argv);
+	harness_read_port(cluster->harness, target->process);
 }
 
 static void choose_address(const char *ip, char *address, size_t size)
@@ -129,13 +162,15 @@
 			   const cluster_instance_t *instance, const char *path)
 {
 	const char *policy = cluster->params.policy;
+	const char *level = cluster->params.log_level;
 	FILE *file = fopen(path, "w");
 
 	assert_non_null(file);
 	fprintf(file, "data_center = \"dc%u\"\n", instance->data_center);
 	fprintf(file, "platform = \"%s\"\n", cluster->platform_address);
 	write_peers(cluster, file);
-	fprintf(file, "shards = 2\nlog_level = \"info\"\nseed = 1\n");
+	fprintf(file, "shards = 2\nlog_level = \"%s\"\nseed = 1\n",
+		level ? level : "info");
 	fprintf(file, "[front]\ncallers = \"%s\"\npeer = \"%s\"\n",
 		instance->callers, instance->front_peer);
 	fprintf(file, "[gather]\npeer = \"%s\"\n", instance->gather_peer);
--- a/tests/system/cluster.h
+++ b/tests/system/cluster.h
@@ -10,8 +10,8 @@
 
 enum {
 	CLUSTER_DATA_CENTERS_MAX = 4,
-	CLUSTER_INSTANCES_MAX = 16,
-	CLUSTER_TARGETS_MAX = 128,
+	CLUSTER_INSTANCES_MAX = 32,
+	CLUSTER_TARGETS_MAX = 256,
 	CLUSTER_ADDRESS_SIZE = 64,
 	/* Documents of shard i are i + 1 times this. */
 	CLUSTER_DOCUMENTS = 100,
@@ -25,9 +25,12 @@
  * @name: name of the test
  * @data_centers: number of data centres
  * @instances: instances of each data centre
- * @shards: shards of the service; each has a target in each data centre
+ * @shards: shards of the service; each has targets in each data centre
  * @policy: lines for the table [policy] of all settings; NULL for none
  * @snapshots: number of snapshots "s1", "s2" ... in the configuration
+ * @replicas: targets of a shard in each data centre; 0 means 1
+ * @targets_per_process: targets that one process serves; 0 means 1
+ * @log_level: log level of fronts and gathers; NULL means "info"
  */
 typedef struct cluster_params_t {
 	const char *name;
@@ -36,11 +39,14 @@
 	uint32_t shards;
 	const char *policy;
 	uint32_t snapshots;
+	uint32_t replicas;
+	uint32_t targets_per_process;
+	const char *log_level;
 } cluster_params_t;
 
 /**
- * struct cluster_target_t - one target, a process of its own
- * @process: its process
+ * struct cluster_target_t - one target
+ * @process: its process, which may serve others too
  * @data_center: index of its data centre
  * @shard: its shard
  * @url: "http://ADDRESS"
@@ -101,6 +107,9 @@
 /** cluster_start() - start all, put the configuration, wait until ready */
 void cluster_start(cluster_t *cluster);
 
+/** cluster_start_target() - start again a target that has its own process */
+void cluster_start_target(cluster_t *cluster, cluster_target_t *target);
+
 /** cluster_start_front() - start an instance's front (again) */
 void cluster_start_front(cluster_t *cluster, cluster_instance_t *instance);
 
--- a/tests/system/harness.c
+++ b/tests/system/harness.c
@@ -203,6 +203,11 @@
 	kill(process_get(harness, process)->pid, signal);
 }
 
+pid_t harness_pid(harness_t *harness, mc_handle_t process)
+{
+	return process_get(harness, process)->pid;
+}
+
 bool harness_running(harness_t *harness, mc_handle_t process)
 {
 	siginfo_t info = { 0 };
--- a/tests/system/harness.h
+++ b/tests/system/harness.h
@@ -7,6 +7,7 @@
 #define HARNESS_H
 
 #include <jansson.h>
+#include <sys/types.h>
 
 #include "mc/base.h"
 
@@ -94,6 +95,9 @@
 /** harness_running() - whether the process has not ended */
 bool harness_running(harness_t *harness, mc_handle_t process);
 
+/** harness_pid() - system's id of a process */
+pid_t harness_pid(harness_t *harness, mc_handle_t process);
+
 /** harness_free_port() - a port of the IP number that the kernel had free */
 uint16_t harness_free_port(const char *ip);
 
