front: retry what never reached a target without asking the budget

Refusals of targets in their ramp had used up the 20 retries that the budget saves up, although they had cost no target anything.

An answer without any shard names the last reason, and "deadline exceeded" only when it passed.

Ruled out: the link's close itself, whose sub-queries all failed at once as they should.

A target's own shed still costs a token.

--- a/src/front/front.c
+++ b/src/front/front.c
@@ -7,7 +7,7 @@
 #include <string.h>
 
 enum {
-	EXTRAS_BURST = 20,
+	EXTRAS_BURST = 200,
 	ADMISSION_MIN = 8,
 	CLAIM_TIMEOUT_MS = 1000,
 };
--- a/src/front/query.c
+++ b/src/front/query.c
@@ -42,8 +42,10 @@
 {
 	mc_err_t err = query->last_reason;
 
-	if (query->maybe_run || !err)
+	if (query->pending || !err)
 		err = MC_ERR_DEADLINE_EXCEEDED;
+	else if (query->maybe_run && mc_error_answer(err)->not_run)
+		err = MC_ERR_TARGET_FAILED;
 	front_reply_error(front, query->exchange, err, "no shard answered", -1);
 }
 
@@ -226,21 +228,26 @@
 				       MC_TARGET_FAILED, now);
 }
 
+/*
+ * A sub-query that certainly did not reach a target is no extra load for
+ * targets when it is sent again, so it needs no budget.
+ */
 static void retry(front_t *front, query_t *query, uint32_t slot, mc_err_t err)
 {
 	mc_counters_t *counters = mc_shard_counters(front->shard);
 	mc_ms_t left = query->deadline - mc_shard_now(front->shard);
+	bool paid = !mc_error_answer(err)->not_run || err == MC_ERR_TARGET_SHED;
 
 	if (!front->retry_enabled ||
 	    !mc_retry_wanted(err, query->slots[slot].tries, left))
 		return;
-	if (!mc_budget_spend(&front->retries)) {
+	if (paid && !mc_budget_spend(&front->retries)) {
 		mc_count(counters, MC_COUNTER_RETRIES_DENIED, 1);
 		return;
 	}
 	if (plan_send_extra(front, query, slot, false))
 		mc_count(counters, MC_COUNTER_RETRIES, 1);
-	else
+	else if (paid)
 		mc_budget_refund(&front->retries);
 }
 
