member: send new news before what was already sent

Cause: a trial with 430 members just after a cut had healed: ten seconds after a member announced that it leaves, 325 still saw it as usable, as its news waited behind that of the heal.

Ruled out: more messages, as the bytes are bounded.

Change: new news goes next in turn.

The trial with 430 members was not run to its end again.

--- a/src/member/member_gossip.c
+++ b/src/member/member_gossip.c
@@ -34,6 +34,15 @@
 	return SENDS_FACTOR * bits;
 }
 
+/* New news goes first, before what was already sent. */
+static void enqueue_next(mc_membership_t *ms, mc_handle_t handle)
+{
+	if (ms->news_next >= ms->news_count)
+		ms->news_next = 0;
+	ms->news[ms->news_count++] = ms->news[ms->news_next];
+	ms->news[ms->news_next] = handle;
+}
+
 void mc_member_news_add(mc_membership_t *ms, mc_handle_t handle)
 {
 	mc_member_node_t *node = mc_member_node(ms, handle);
@@ -45,7 +54,7 @@
 	if (node->sends_left < sends)
 		node->sends_left = sends;
 	if (!queued)
-		ms->news[ms->news_count++] = handle;
+		enqueue_next(ms, handle);
 }
 
 void mc_member_news_clear(mc_membership_t *ms)
