move: a good version is no longer taken back for want of evidence elsewhere

Change: gathers do not judge; a digest says whether its sender, or one that it heard of, judged the new version good, and where that is known the lack of own evidence is no reason. Digests also go to one front of any data centre. A process's incarnation and the origin of its counts come from its start, so that an earlier process at its address is told apart.

Also: with marks set at each sample, a fault that both versions share was held against the new one, as the span of its last samples had none of the old version and all stored counts were the baseline. The next longer span is the baseline now. test_common_fault sent 30 failures of one version in a row, which is no common fault at all; its samples alternate now, as many as before.

Seen to fail: test_judged_by_peer without the new flag; test_common_fault without the chain of baselines.

--- a/src/move/include/mc/move.h
+++ b/src/move/include/mc/move.h
@@ -43,6 +43,7 @@
  * struct mc_move_digest_t - what instances tell each other about one move
  * @move: the move's hash
  * @origin: key of the instance that counted
+ * @judged: some instance saw enough evidence, and it was good; grow-only
  * @taken_back: grow-only verdict
  * @reason: why, for operators
  * @counts: [0] of the old version, [1] of the new one, per route
@@ -50,6 +51,7 @@
 typedef struct mc_move_digest_t {
 	uint64_t move;
 	uint64_t origin;
+	bool judged;
 	bool taken_back;
 	char reason[96];
 	mc_move_counts_t counts[2][MC_MOVE_ROUTES];
--- a/src/move/move.c
+++ b/src/move/move.c
@@ -277,6 +277,7 @@
 
 	digest->move = move->hash;
 	digest->origin = mover->origin;
+	digest->judged = move->judged || move->judged_by_peer;
 	digest->taken_back = move->taken_back;
 	memcpy(digest->reason, move->reason, sizeof(digest->reason));
 	memcpy(digest->counts, mc_move_evidence_own(move)->counts,
@@ -295,6 +296,7 @@
 		return false;
 	known = move->taken_back;
 	mc_move_evidence_merge(move, digest);
+	move->judged_by_peer |= digest->judged;
 	if (digest->taken_back) {
 		snprintf(reason, sizeof(reason), "%.*s",
 			 (int)sizeof(reason) - 1, digest->reason);
--- a/src/move/move_defs.h
+++ b/src/move/move_defs.h
@@ -61,6 +61,8 @@
  * @first_seen: when this process learned of it, wall time
  * @old_gone: the configuration has no target of the old version
  * @judged: there was enough evidence, and it was good
+ * @judged_by_peer: a peer had such evidence: what this process lacks at the
+ *	move's time is no reason to take it back
  * @judged_at: since when, wall time
  * @taken_back: verdict; never reset
  * @share: share of the new version
@@ -87,6 +89,7 @@
 	mc_ms_t first_seen;
 	bool old_gone;
 	bool judged;
+	bool judged_by_peer;
 	mc_ms_t judged_at;
 	bool taken_back;
 	double share;
--- a/src/move/move_judge.c
+++ b/src/move/move_judge.c
@@ -3,8 +3,8 @@
  * few samples, the last minute and the last ten minutes, all of them since the
  * last change of the share. Both versions are compared over the same span, so
  * that a fault that both share counts against neither. Where the old version
- * has too few samples in a span, as after all traffic has moved, all its stored
- * counts are the baseline.
+ * has too few samples in a span, those of the next longer one are the baseline,
+ * and in the end, as after all traffic has moved, all its stored counts.
  *
  * The new version is worse on a route when the lower bound of its failure rate
  * is above the upper bound of the old version's by a margin, or when, for some
@@ -72,8 +72,6 @@
 	mc_move_since(&move->total.counts[MC_MOVE_NEW][route], new_mark,
 		      &span->new);
 	mc_move_since(old, old_mark, &span->old);
-	if (mc_move_samples(&span->old) < BASELINE_SAMPLES)
-		span->old = *old;
 }
 
 static void window_span(const mc_mover_move_t *move, uint32_t route,
@@ -85,6 +83,21 @@
 		   &mark->counts[MC_MOVE_NEW][route], span);
 }
 
+/* Where a span has too few samples of the old version, a longer one helps. */
+static void choose_baselines(const mc_mover_move_t *move, uint32_t route,
+			     span_t spans[SPANS])
+{
+	const mc_move_counts_t *longer =
+		&move->total.counts[MC_MOVE_OLD][route];
+	uint32_t i;
+
+	for (i = SPANS; i-- > 0;) {
+		if (mc_move_samples(&spans[i].old) < BASELINE_SAMPLES)
+			spans[i].old = *longer;
+		longer = &spans[i].old;
+	}
+}
+
 static void get_spans(const mc_mover_move_t *move, uint32_t route,
 		      span_t spans[SPANS])
 {
@@ -94,6 +107,7 @@
 		   &block->marks[0][MC_MOVE_NEW], &spans[0]);
 	window_span(move, route, &move->minute, &spans[1]);
 	window_span(move, route, &move->long_window, &spans[2]);
+	choose_baselines(move, route, spans);
 }
 
 static bool fails_more(const span_t *span)
--- a/src/node/moves.c
+++ b/src/node/moves.c
@@ -26,18 +26,21 @@
 
 static void send_digests(mc_node_t *node)
 {
-	const node_peers_t fronts = {
+	const node_peers_t near = {
 		.same_data_center = true,
 		.fronts_only = true,
 		.count = NODE_FANOUT,
 	};
+	const node_peers_t anywhere = { .fronts_only = true, .count = 1 };
 	uint32_t i;
 
 	if (node->observed == node->observed_sent)
 		return;
 	node->observed_sent = node->observed;
-	for (i = 0; i < mc_mover_count(node->mover); i++)
-		send_digest(node, i, &fronts);
+	for (i = 0; i < mc_mover_count(node->mover); i++) {
+		send_digest(node, i, &near);
+		send_digest(node, i, &anywhere);
+	}
 }
 
 /* A move was taken back here or at a peer: everybody near learns it now. */
@@ -92,9 +95,13 @@
 	node_publish(node);
 }
 
+/*
+ * Only fronts see outcomes. A gather would find too little evidence at the
+ * move's time; it learns verdicts from fronts.
+ */
 void node_moves_tick(mc_node_t *node)
 {
-	if (!mc_mover_count(node->mover))
+	if (!mc_mover_count(node->mover) || node->params.role != MC_ROLE_FRONT)
 		return;
 	judge(node);
 	send_digests(node);
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -113,10 +113,15 @@
 	tick_prune(shard, node);
 }
 
-static mc_member_params_t member_params(mc_node_t *node)
+/*
+ * The start's wall time tells this process from an earlier one at the same
+ * address: peers take its word over what they knew of the other.
+ */
+static mc_member_params_t member_params(mc_node_t *node, mc_ms_t started)
 {
 	const mc_settings_t *settings = node->params.settings;
 	mc_member_params_t params = {
+		.self.incarnation = (uint64_t)started,
 		.self.gather = node->params.role == MC_ROLE_GATHER,
 		.probe_interval = PROBE_INTERVAL_MS,
 		.probe_timeout = PROBE_TIMEOUT_MS,
@@ -137,7 +142,10 @@
 
 static mc_err_t create_parts(mc_node_t *node)
 {
-	const mc_member_params_t params = member_params(node);
+	mc_ms_t started = mc_clock_wall(mc_shard_clock(node->shard));
+	const mc_member_params_t params = member_params(node, started);
+	uint64_t origin =
+		mc_hash_pair(mc_hash_string(node->address), (uint64_t)started);
 	mc_ms_t now = mc_shard_now(node->shard);
 
 	if (apr_pool_create(&node->pool, NULL))
@@ -145,7 +153,7 @@
 	node->links = apr_hash_make(node->pool);
 	node->config = mc_config_empty();
 	node->membership = mc_membership_create(&params, now);
-	node->mover = mc_mover_create(mc_hash_string(node->address));
+	node->mover = mc_mover_create(origin);
 	node->store.client =
 		mc_store_create(node->shard, node->params.settings->platform,
 				NODE_CALL_TIMEOUT_MS);
--- a/src/wire/config_codec.c
+++ b/src/wire/config_codec.c
@@ -5,7 +5,7 @@
 
 enum {
 	CONFIG_FIELDS = 4,
-	MOVE_FIELDS = 5,
+	MOVE_FIELDS = 6,
 	/* A move's versions: the old one and the new one. */
 	MOVE_VERSIONS = 2,
 	COUNTS_FIELDS = 2 + MC_MOVE_BUCKETS,
@@ -56,6 +56,7 @@
 
 	mc_write_u64(writer, move->move);
 	mc_write_u64(writer, move->origin);
+	mc_write_bool(writer, move->judged);
 	mc_write_bool(writer, move->taken_back);
 	mc_write_string(writer, move->reason);
 	mc_write_array(writer, MOVE_VERSIONS * MC_MOVE_ROUTES);
@@ -72,6 +73,7 @@
 
 	move->move = mc_read_u64(reader);
 	move->origin = mc_read_u64(reader);
+	move->judged = mc_read_bool(reader);
 	move->taken_back = mc_read_bool(reader);
 	mc_read_text(reader, move->reason, sizeof(move->reason));
 	mc_read_array(reader, MOVE_VERSIONS * MC_MOVE_ROUTES);
--- a/tests/fuzz/member_fuzz.c
+++ b/tests/fuzz/member_fuzz.c
@@ -8,11 +8,11 @@
 #include "../member_net.h"
 
 enum {
-	PEERS = 5,
+	PEERS = 6,
 	LEFT_MAX = 256,
-	SEEDED_STEPS = 12,
-	CONVERGE_MS = 60 * 1000,
-	QUIET_MS = 10 * 1000,
+	SEEDED_STEPS = 16,
+	CONVERGE_MS = 90 * 1000,
+	QUIET_MS = 20 * 1000,
 };
 
 /* Lives that ended by leaving. */
--- a/tests/fuzz/wire_fuzz.c
+++ b/tests/fuzz/wire_fuzz.c
@@ -33,7 +33,7 @@
 	[MC_WIRE_CONFIG] = "nsst",
 	[MC_WIRE_CONFIG_DIGEST] = "nsst",
 	[MC_WIRE_CONFIG_REQUEST] = "nsst",
-	[MC_WIRE_MOVE] = "nnbs8(nnnnnnnnnnnnnnnnnn)",
+	[MC_WIRE_MOVE] = "nnbbs8(nnnnnnnnnnnnnnnnnn)",
 };
 
 static size_t allocated;
--- a/tests/unit/move_test.c
+++ b/tests/unit/move_test.c
@@ -146,14 +146,18 @@
 {
 	mc_mover_t *mover = create(1, START_MS);
 	mc_ms_t wall;
+	int i;
 
 	(void)state;
 	run_good(mover, START_MS, START_MS + 14 * MINUTE_MS);
 	assert_true(share(mover) == 0.5);
-	for (wall = 0; wall < MINUTE_MS; wall += 1000) {
-		observe(mover, "v1", 0, 30, 30, START_MS + 14 * MINUTE_MS);
-		observe(mover, "v2", 0, 30, 30, START_MS + 14 * MINUTE_MS);
-		mc_mover_tick(mover, START_MS + 14 * MINUTE_MS + wall);
+	for (wall = START_MS + 14 * MINUTE_MS; wall < START_MS + 15 * MINUTE_MS;
+	     wall += 1000) {
+		for (i = 0; i < 30; i++) {
+			observe(mover, "v1", 0, 1, 1, wall);
+			observe(mover, "v2", 0, 1, 1, wall);
+		}
+		mc_mover_tick(mover, wall);
 	}
 	assert_int_not_equal(state_of(mover), MC_MOVE_TAKEN_BACK);
 	mc_mover_destroy(mover);
@@ -265,6 +269,27 @@
 	move_row.without_evidence = MC_MOVE_TAKE_BACK;
 }
 
+/* What a peer judged good is not taken back where too little was seen. */
+static void test_judged_by_peer(void **state)
+{
+	mc_mover_t *mover = create(1, START_MS);
+	mc_move_digest_t digest = { 0 };
+
+	(void)state;
+	mc_mover_digest(mover, 0, &digest);
+	assert_false(digest.judged);
+	digest.origin = 2;
+	digest.judged = true;
+	assert_false(mc_mover_merge(mover, &digest, START_MS));
+	mc_mover_tick(mover, DONE_BY_MS - 1);
+	assert_true(share(mover) == 0.05);
+	mc_mover_tick(mover, DONE_BY_MS + 10 * 1000);
+	assert_true(share(mover) == 1);
+	mc_mover_digest(mover, 0, &digest);
+	assert_true(digest.judged);
+	mc_mover_destroy(mover);
+}
+
 /* An instance that starts after the move's time has seen nothing of it. */
 static void test_newcomer(void **state)
 {
@@ -290,6 +315,7 @@
 		cmocka_unit_test(test_merge),
 		cmocka_unit_test(test_verdict_spreads),
 		cmocka_unit_test(test_without_evidence),
+		cmocka_unit_test(test_judged_by_peer),
 		cmocka_unit_test(test_newcomer),
 	};
 
