Test that an accepted configuration is in force everywhere and stays

Gathers have no HTTP, so the test reads what they log.

It now says "unknown", as the store holds only the latest submission.

--- a/src/cli/submit.c
+++ b/src/cli/submit.c
@@ -217,7 +217,10 @@
 	return status;
 }
 
-/* Tells whether the submission @id is what the store holds. */
+/*
+ * Tells whether the submission @id is what the store holds. If another one is
+ * there, @id may have been accepted before it, or never.
+ */
 static mc_cli_exit_t query(store_caller_t *caller, const char *id)
 {
 	const mc_config_t *now;
@@ -231,9 +234,10 @@
 		printf("accepted as version %llu\n",
 		       (unsigned long long)now->version);
 	} else {
-		printf("version %llu is submission %s\n",
-		       (unsigned long long)now->version, now->submission);
-		status = MC_CLI_RACE;
+		printf("unknown: version %llu is submission %s; %s may have "
+		       "been accepted before it\n",
+		       (unsigned long long)now->version, now->submission, id);
+		status = MC_CLI_UNKNOWN;
 	}
 	mc_config_unref(now);
 	return status;
--- a/tests/system/cluster.c
+++ b/tests/system/cluster.c
@@ -9,6 +9,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <time.h>
 #include <cmocka.h>
 
 #include "cluster.h"
@@ -24,6 +25,7 @@
 	NAME_SIZE = 64,
 	HEADER_SIZE = 64,
 	DEADLINE_MS = 1000,
+	MS_PER_SECOND = 1000,
 };
 
 cluster_t *cluster_create(const cluster_params_t *params)
@@ -47,9 +49,11 @@
 	free(cluster);
 }
 
-static void start_platform(cluster_t *cluster)
+void cluster_start_platform(cluster_t *cluster)
 {
-	const char *argv[] = { STANDIN_PLATFORM, NULL };
+	const char *colon = strchr(cluster->platform_address, ':');
+	const char *argv[] = { STANDIN_PLATFORM, "--port",
+			       colon ? colon + 1 : "0", NULL };
 
 	cluster->platform = harness_start(cluster->harness, "platform", argv);
 	snprintf(cluster->platform_address, sizeof(cluster->platform_address),
@@ -61,22 +65,28 @@
 {
 	const cluster_params_t *params = &cluster->params;
 	const char *argv[] = { STANDIN_TARGET, NULL };
+	uint32_t versions = params->versions ? params->versions : 1;
+	uint32_t each = params->data_centers * params->shards;
 	cluster_target_t *target;
 	char name[NAME_SIZE];
 	uint32_t i;
 
-	cluster->target_count = params->data_centers * params->shards;
+	cluster->target_count = each * versions;
 	assert_in_range(cluster->target_count, 1, CLUSTER_TARGETS_MAX);
 	for (i = 0; i < cluster->target_count; i++) {
 		target = &cluster->targets[i];
-		target->data_center = i / params->shards;
+		target->data_center = i % each / params->shards;
 		target->shard = i % params->shards;
-		snprintf(name, sizeof(name), "target-dc%u-%u",
-			 target->data_center, target->shard);
+		target->version = i / each + 1;
+		snprintf(name, sizeof(name), "target-dc%u-%u-v%u",
+			 target->data_center, target->shard, target->version);
 		target->process = harness_start(cluster->harness, name, argv);
 		snprintf(target->url, sizeof(target->url),
 			 "http://127.0.0.1:%u",
 			 harness_read_port(cluster->harness, target->process));
+		snprintf(name, sizeof(name), "{\"version\":\"v%u\"}",
+			 target->version);
+		cluster_standin(target, name);
 	}
 }
 
@@ -195,13 +205,36 @@
 		fprintf(file,
 			"[[target]]\nservice = \"" CLUSTER_SERVICE
 			"\"\nlayout = \"l1\"\nshard = %u\n"
-			"data_center = \"dc%u\"\nversion = \"v1\"\n"
+			"data_center = \"dc%u\"\nversion = \"v%u\"\n"
 			"address = \"%s\"\n",
-			target->shard, target->data_center,
+			target->shard, target->data_center, target->version,
 			target->url + strlen("http://"));
 	}
 }
 
+static void write_time(FILE *file, const char *key, mc_ms_t wall)
+{
+	time_t seconds = wall / MS_PER_SECOND;
+	char text[NAME_SIZE];
+	struct tm parts;
+
+	gmtime_r(&seconds, &parts);
+	strftime(text, sizeof(text), "%Y-%m-%dT%H:%M:%S", &parts);
+	fprintf(file, "%s = %s.%03dZ\n", key, text,
+		(int)(wall % MS_PER_SECOND));
+}
+
+static void write_move(const cluster_t *cluster, FILE *file)
+{
+	if (!cluster->move_start)
+		return;
+	fprintf(file, "[[move]]\nservice = \"" CLUSTER_SERVICE
+		      "\"\nfrom = \"v1\"\nto = \"v2\"\n");
+	write_time(file, "start", cluster->move_start);
+	write_time(file, "done_by", cluster->move_done_by);
+	fprintf(file, "without_evidence = \"take_back\"\n");
+}
+
 char *cluster_config(const cluster_t *cluster, int out)
 {
 	char *text = NULL;
@@ -220,6 +253,7 @@
 		DEADLINE_MS);
 	write_layout(cluster, file);
 	write_targets(cluster, file);
+	write_move(cluster, file);
 	assert_int_equal(fclose(file), 0);
 	return text;
 }
@@ -247,12 +281,21 @@
 	assert_int_not_equal(cluster->config_version, 0);
 }
 
+json_t *cluster_platform(const cluster_t *cluster, const char *body)
+{
+	char url[HARNESS_URL_SIZE];
+
+	snprintf(url, sizeof(url), "http://%s/standin",
+		 cluster->platform_address);
+	return harness_post(url, body);
+}
+
 /* Puts the list of instances to the platform. */
 static void put_instances(const cluster_t *cluster)
 {
 	json_t *list = json_array();
 	json_t *control;
-	char url[HARNESS_URL_SIZE], data_center[NAME_SIZE];
+	char data_center[NAME_SIZE];
 	char *body;
 	uint32_t i;
 
@@ -266,9 +309,7 @@
 	}
 	control = json_pack("{so}", "instances", list);
 	body = json_dumps(control, 0);
-	snprintf(url, sizeof(url), "http://%s/standin",
-		 cluster->platform_address);
-	json_decref(harness_post(url, body));
+	json_decref(cluster_platform(cluster, body));
 	json_decref(control);
 	free(body);
 }
@@ -293,7 +334,7 @@
 	char *text;
 	uint32_t i;
 
-	start_platform(cluster);
+	cluster_start_platform(cluster);
 	start_targets(cluster);
 	place_instances(cluster);
 	put_instances(cluster);
--- a/tests/system/cluster.h
+++ b/tests/system/cluster.h
@@ -28,6 +28,8 @@
  * @shards: shards of the service; each has a target in each data centre
  * @policy: lines for the table [policy] of all settings; NULL for none
  * @snapshots: number of snapshots "s1", "s2" ... in the configuration
+ * @versions: versions "v1", "v2" ... of targets, each of which has a target per
+ *	shard and data centre; 0 is 1
  */
 typedef struct cluster_params_t {
 	const char *name;
@@ -36,6 +38,7 @@
 	uint32_t shards;
 	const char *policy;
 	uint32_t snapshots;
+	uint32_t versions;
 } cluster_params_t;
 
 /**
@@ -43,12 +46,14 @@
  * @process: its process
  * @data_center: index of its data centre
  * @shard: its shard
+ * @version: 1 for "v1"
  * @url: "http://ADDRESS"
  */
 typedef struct cluster_target_t {
 	mc_handle_t process;
 	uint32_t data_center;
 	uint32_t shard;
+	uint32_t version;
 	char url[HARNESS_URL_SIZE];
 } cluster_target_t;
 
@@ -79,6 +84,9 @@
  * @platform: process of the platform
  * @platform_address: its address
  * @config_version: version of the configuration that was put last
+ * @move_start: start of a move from v1 to v2 that cluster_config() adds, ms
+ *	since the Unix epoch; 0 for none
+ * @move_done_by: when that shall be done, likewise
  */
 typedef struct cluster_t {
 	cluster_params_t params;
@@ -86,6 +94,8 @@
 	mc_handle_t platform;
 	char platform_address[CLUSTER_ADDRESS_SIZE];
 	uint64_t config_version;
+	mc_ms_t move_start;
+	mc_ms_t move_done_by;
 	uint32_t target_count;
 	cluster_target_t targets[CLUSTER_TARGETS_MAX];
 	uint32_t instance_count;
@@ -101,6 +111,12 @@
 /** cluster_start() - start all, put the configuration, wait until ready */
 void cluster_start(cluster_t *cluster);
 
+/** cluster_start_platform() - start the platform, again at its old address */
+void cluster_start_platform(cluster_t *cluster);
+
+/** cluster_platform() - set the platform's behaviour; its counters */
+json_t *cluster_platform(const cluster_t *cluster, const char *body);
+
 /** cluster_start_front() - start an instance's front (again) */
 void cluster_start_front(cluster_t *cluster, cluster_instance_t *instance);
 
--- /dev/null
+++ b/tests/system/fleet.c
@@ -0,0 +1,256 @@
+/*
+ * Fronts are asked by HTTP; a gather has no HTTP, so its log is read.
+ */
+#include <setjmp.h>
+#include <signal.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <cmocka.h>
+
+#include "fleet.h"
+
+enum {
+	PATH_SIZE = 512,
+	LINE_SIZE = 1024,
+	NAME_SIZE = 64,
+	BASE_TEN = 10,
+};
+
+#define IN_FORCE "configuration in force version="
+
+static mc_handle_t start_submit(cluster_t *cluster, const char *name,
+				const char *option, const char *value)
+{
+	const char *argv[] = { MANGOCOVE,
+			       "submit",
+			       "--platform",
+			       cluster->platform_address,
+			       option ? option : value,
+			       option ? value : NULL,
+			       NULL };
+
+	return harness_start(cluster->harness, name, argv);
+}
+
+mc_handle_t fleet_submit_begin(cluster_t *cluster, const char *name,
+			       const char *text)
+{
+	char path[PATH_SIZE];
+	FILE *file;
+
+	snprintf(path, sizeof(path), "%s/%s-config.toml",
+		 harness_folder(cluster->harness), name);
+	file = fopen(path, "w");
+	assert_non_null(file);
+	fputs(text, file);
+	assert_int_equal(fclose(file), 0);
+	return start_submit(cluster, name, NULL, path);
+}
+
+/* Copies the word after @label, or "". */
+static void read_word(const char *output, const char *label, char *word,
+		      size_t size)
+{
+	const char *found = strstr(output, label);
+	size_t length;
+
+	*word = '\0';
+	if (!found)
+		return;
+	found += strlen(label);
+	length = strcspn(found, " \n");
+	if (length < size)
+		snprintf(word, size, "%.*s", (int)length, found);
+}
+
+fleet_submission_t fleet_submit_end(cluster_t *cluster, mc_handle_t process)
+{
+	fleet_submission_t end = { 0 };
+	char version[NAME_SIZE];
+
+	end.status = harness_finish(cluster->harness, process, end.output,
+				    sizeof(end.output));
+	read_word(end.output, "submission ", end.id, sizeof(end.id));
+	read_word(end.output, "accepted as version ", version, sizeof(version));
+	end.version = strtoull(version, NULL, BASE_TEN);
+	return end;
+}
+
+fleet_submission_t fleet_query(cluster_t *cluster, const char *id)
+{
+	return fleet_submit_end(cluster,
+				start_submit(cluster, "query", "--query", id));
+}
+
+uint64_t fleet_change(cluster_t *cluster)
+{
+	fleet_submission_t end;
+	char *text;
+
+	cluster->params.snapshots = cluster->params.snapshots == 1 ? 2 : 1;
+	text = cluster_config(cluster, -1);
+	end = fleet_submit_end(cluster,
+			       fleet_submit_begin(cluster, "submit", text));
+	free(text);
+	if (end.status)
+		fail_msg("submit ended with %d: %s", end.status, end.output);
+	assert_int_not_equal(end.version, 0);
+	cluster->config_version = end.version;
+	return end.version;
+}
+
+static harness_reply_t get(const cluster_instance_t *instance, const char *path)
+{
+	char url[2 * HARNESS_URL_SIZE];
+
+	snprintf(url, sizeof(url), "%s%s", instance->url, path);
+	return harness_http(
+		&(harness_request_t){ .method = "GET", .url = url });
+}
+
+json_t *fleet_status(const cluster_instance_t *instance)
+{
+	harness_reply_t reply = get(instance, "/v1/status");
+	json_t *status = reply.status == 200 ? json_incref(reply.json) : NULL;
+
+	harness_reply_free(&reply);
+	return status;
+}
+
+json_int_t fleet_number(const json_t *status, const char *path)
+{
+	const char *dot = strchr(path, '.');
+	char key[NAME_SIZE];
+
+	if (dot) {
+		snprintf(key, sizeof(key), "%.*s", (int)(dot - path), path);
+		status = json_object_get(status, key);
+		path = dot + 1;
+	}
+	return json_integer_value(json_object_get(status, path));
+}
+
+json_int_t fleet_metric(const cluster_instance_t *instance, const char *name)
+{
+	harness_reply_t reply = get(instance, "/v1/metrics");
+	char label[NAME_SIZE], value[NAME_SIZE];
+
+	snprintf(label, sizeof(label), "\n%s ", name);
+	read_word(reply.body, label, value, sizeof(value));
+	harness_reply_free(&reply);
+	return strtoll(value, NULL, BASE_TEN);
+}
+
+static FILE *open_log(const cluster_t *cluster, const char *role,
+		      const cluster_instance_t *instance)
+{
+	char path[PATH_SIZE];
+
+	snprintf(path, sizeof(path), "%s/%s-%s.log",
+		 harness_folder(cluster->harness), role, instance->ip);
+	return fopen(path, "r");
+}
+
+uint64_t fleet_log_version(const cluster_t *cluster, const char *role,
+			   const cluster_instance_t *instance)
+{
+	FILE *log = open_log(cluster, role, instance);
+	uint64_t last = 0, version;
+	char line[LINE_SIZE];
+	const char *found;
+
+	assert_non_null(log);
+	while (fgets(line, sizeof(line), log)) {
+		found = strstr(line, IN_FORCE);
+		if (!found)
+			continue;
+		version = strtoull(found + strlen(IN_FORCE), NULL, BASE_TEN);
+		if (version <= last)
+			fail_msg("%s %s went back from version %llu to %llu",
+				 role, instance->ip, (unsigned long long)last,
+				 (unsigned long long)version);
+		last = version;
+	}
+	fclose(log);
+	return last;
+}
+
+static bool log_has(FILE *log, const char *text)
+{
+	char line[LINE_SIZE];
+	bool found = false;
+
+	assert_non_null(log);
+	while (!found && fgets(line, sizeof(line), log))
+		found = strstr(line, text) != NULL;
+	fclose(log);
+	return found;
+}
+
+bool fleet_logged(const cluster_t *cluster, const char *text)
+{
+	uint32_t i;
+
+	for (i = 0; i < cluster->instance_count; i++)
+		if (log_has(open_log(cluster, "front", &cluster->instances[i]),
+			    text) ||
+		    log_has(open_log(cluster, "gather", &cluster->instances[i]),
+			    text))
+			return true;
+	return false;
+}
+
+bool fleet_in_force(const cluster_t *cluster, uint64_t version)
+{
+	const cluster_instance_t *instance;
+	uint64_t shown;
+	json_t *status;
+	uint32_t i;
+
+	for (i = 0; i < cluster->instance_count; i++) {
+		instance = &cluster->instances[i];
+		status = fleet_status(instance);
+		shown = (uint64_t)fleet_number(status, "configuration.version");
+		json_decref(status);
+		if (shown < version ||
+		    fleet_log_version(cluster, "gather", instance) < version)
+			return false;
+	}
+	return true;
+}
+
+typedef struct waited_t {
+	const cluster_t *cluster;
+	uint64_t version;
+} waited_t;
+
+static bool is_in_force(void *ctx)
+{
+	const waited_t *waited = ctx;
+
+	return fleet_in_force(waited->cluster, waited->version);
+}
+
+mc_ms_t fleet_wait_in_force(cluster_t *cluster, uint64_t version)
+{
+	waited_t waited = { .cluster = cluster, .version = version };
+	mc_ms_t start = mc_clock_now(mc_clock_system());
+
+	harness_wait("a version is in force everywhere", is_in_force, &waited);
+	return mc_clock_now(mc_clock_system()) - start;
+}
+
+void fleet_kill(cluster_t *cluster, const cluster_instance_t *instance)
+{
+	harness_stop(cluster->harness, instance->front, SIGKILL);
+	harness_stop(cluster->harness, instance->gather, SIGKILL);
+}
+
+void fleet_start(cluster_t *cluster, cluster_instance_t *instance)
+{
+	cluster_start_gather(cluster, instance);
+	cluster_start_front(cluster, instance);
+}
--- a/tests/system/harness.c
+++ b/tests/system/harness.c
@@ -30,6 +30,7 @@
 	/* Pause between two looks at a condition. */
 	LOOK_EVERY_MS = 20,
 	NS_PER_MS = 1000000,
+	MS_PER_SECOND = 1000,
 	FILE_MODE = 0644,
 	FOLDER_MODE = 0755,
 	EXEC_FAILED = 127,
@@ -68,13 +69,6 @@
 	return harness->folder;
 }
 
-static void pause_briefly(void)
-{
-	const struct timespec pause = { .tv_nsec = LOOK_EVERY_MS * NS_PER_MS };
-
-	nanosleep(&pause, NULL);
-}
-
 /* A program that does not end in time is killed. */
 static int process_end(process_t *process, int signal)
 {
@@ -88,7 +82,7 @@
 	while (!waitpid(process->pid, &status, WNOHANG)) {
 		if (mc_clock_now(clock) >= end)
 			kill(process->pid, SIGKILL);
-		pause_briefly();
+		harness_sleep(LOOK_EVERY_MS);
 	}
 	close(process->output);
 	return WIFSIGNALED(status) ? -WTERMSIG(status) : WEXITSTATUS(status);
@@ -198,6 +192,39 @@
 	return status;
 }
 
+int harness_finish(harness_t *harness, mc_handle_t process, char *output,
+		   size_t size)
+{
+	const process_t *running = process_get(harness, process);
+	struct pollfd ready = { .fd = running->output, .events = POLLIN };
+	size_t used = 0;
+	ssize_t got = 1;
+
+	while (got > 0 && used < size - 1) {
+		if (poll(&ready, 1, HARNESS_WAIT_MS) <= 0)
+			fail_msg("a program neither writes nor ends");
+		got = read(ready.fd, output + used, size - 1 - used);
+		used += got > 0 ? (size_t)got : 0;
+	}
+	output[used] = '\0';
+	return harness_stop(harness, process, 0);
+}
+
+int harness_pid(harness_t *harness, mc_handle_t process)
+{
+	return process_get(harness, process)->pid;
+}
+
+void harness_sleep(mc_ms_t time)
+{
+	const struct timespec pause = {
+		.tv_sec = time / MS_PER_SECOND,
+		.tv_nsec = time % MS_PER_SECOND * NS_PER_MS,
+	};
+
+	nanosleep(&pause, NULL);
+}
+
 void harness_signal(harness_t *harness, mc_handle_t process, int signal)
 {
 	kill(process_get(harness, process)->pid, signal);
@@ -235,6 +262,6 @@
 	while (!condition(ctx)) {
 		if (mc_clock_now(clock) >= end)
 			fail_msg("waited in vain until %s", what);
-		pause_briefly();
+		harness_sleep(LOOK_EVERY_MS);
 	}
 }
--- a/tests/system/harness.h
+++ b/tests/system/harness.h
@@ -88,6 +88,24 @@
  */
 int harness_stop(harness_t *harness, mc_handle_t process, int signal);
 
+/**
+ * harness_finish() - wait for a program that ends by itself
+ * @harness: the harness
+ * @process: the program
+ * @output: receives its standard output, zero-terminated
+ * @size: bytes of @output
+ *
+ * Return: as harness_stop().
+ */
+int harness_finish(harness_t *harness, mc_handle_t process, char *output,
+		   size_t size);
+
+/** harness_pid() - the process's id, to be looked up in /proc */
+int harness_pid(harness_t *harness, mc_handle_t process);
+
+/** harness_sleep() - let time pass in which nothing is to happen */
+void harness_sleep(mc_ms_t time);
+
 /** harness_signal() - send a signal, such as SIGSTOP, and do not wait */
 void harness_signal(harness_t *harness, mc_handle_t process, int signal);
 
