--- a/src/front/plan.c
+++ b/src/front/plan.c
@@ -315,7 +315,7 @@
 	const sub_query_t *sub;
 	mc_err_t err;
 
-	if (query->view->config != front->view->config ||
+	if (front_admits(front) || query->view->config != front->view->config ||
 	    query->slots[slot].tries == FRONT_TRIES_MAX)
 		return false;
 	sub = add_sub_query(front, query, slot, hedge);
--- a/src/front/query.c
+++ b/src/front/query.c
@@ -5,12 +5,14 @@
  */
 #include "front_private.h"
 
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
 enum {
 	/* The answer leaves so long before the caller's deadline. */
 	ANSWER_MARGIN_MS = 3,
+	MESSAGE_SIZE = 128,
 };
 
 void query_free(front_t *front, query_t *query)
@@ -41,10 +43,13 @@
 static void reply_nothing(front_t *front, const query_t *query)
 {
 	mc_err_t err = query->last_reason;
+	char message[MESSAGE_SIZE];
 
 	if (query->maybe_run || !err)
 		err = MC_ERR_DEADLINE_EXCEEDED;
-	front_reply_error(front, query->exchange, err, "no shard answered", -1);
+	snprintf(message, sizeof(message), "no shard answered, request %s",
+		 query->id);
+	front_reply_error(front, query->exchange, err, message, -1);
 }
 
 static void reply_answer(front_t *front, const query_t *query,
--- a/src/front/run.c
+++ b/src/front/run.c
@@ -119,7 +119,8 @@
 	const mc_row_t *snapshots;
 	uint32_t count;
 
-	if (config != front->view->config)
+	/* The claim may have taken long, or this process was paused. */
+	if (front_admits(front) || config != front->view->config)
 		return MC_ERR_NOT_READY;
 	snapshots = mc_config_service_snapshots(config, run->service, &count);
 	if (!count)
--- a/src/gather/dispatch.c
+++ b/src/gather/dispatch.c
@@ -345,6 +345,8 @@
 	bool sent = true;
 
 	target->flush_pending = false;
+	if (!gather_fresh(gather))
+		dispatch_refuse(gather, target, MC_ERR_NOT_READY);
 	while (sent && target) {
 		sent = flush_once(gather, target);
 		target = mc_table_get(gather->targets, handle);
--- a/src/gather/gather.c
+++ b/src/gather/gather.c
@@ -63,7 +63,9 @@
 	gather_t *gather = state;
 
 	(void)config_confirmed;
+	intake_check_pause(gather);
 	gather->confirmed = now;
+	gather->paused = false;
 }
 
 static void gather_drain(void *state)
--- a/src/gather/gather_private.h
+++ b/src/gather/gather_private.h
@@ -88,6 +88,8 @@
 	apr_pool_t *pool;
 	const mc_view_t *view;
 	mc_ms_t confirmed;
+	/* The view is too old to be acted on, and what waited was dropped. */
+	bool paused;
 	bool closing;
 	mc_handle_t listener;
 	mc_table_t *targets;
@@ -113,6 +115,13 @@
 /* intake.c: links from fronts and peers, and their messages. */
 mc_err_t intake_listen(gather_t *gather);
 gather_t *gather_of(const gather_t *gather, uint32_t shard);
+/* Whether the view is recent enough to be acted on. */
+bool gather_fresh(const gather_t *gather);
+/*
+ * After a pause of this process, what fronts sent and what waits may be of any
+ * age: closes their links and refuses it. Returns whether it did so.
+ */
+bool intake_check_pause(gather_t *gather);
 /* The shard that a target belongs to. */
 uint32_t gather_shard_of(const gather_t *gather, uint64_t target);
 
--- a/src/gather/intake.c
+++ b/src/gather/intake.c
@@ -26,11 +26,36 @@
 	return (uint32_t)(target % mc_process_shard_count(gather->process));
 }
 
-static mc_err_t admit(gather_t *gather, uint64_t key, target_t **target)
+bool gather_fresh(const gather_t *gather)
+{
+	mc_ms_t age = mc_shard_now(gather->shard) - gather->confirmed;
+
+	return gather->view && age <= MC_VIEW_AGE_MAX_MS;
+}
+
+bool intake_check_pause(gather_t *gather)
 {
-	mc_ms_t now = mc_shard_now(gather->shard);
+	uint32_t cursor = 0;
+	mc_handle_t handle;
+	target_t *target;
+
+	if (gather->paused || gather->confirmed < 0 || gather_fresh(gather))
+		return false;
+	gather->paused = true;
+	mc_log(gather->log, MC_LOG_WARNING, "gather",
+	       "view is too old, links of fronts closed fronts=%u",
+	       gather->front_count);
+	while (gather->front_count)
+		mc_link_close(gather->shard,
+			      gather->fronts[--gather->front_count]);
+	while ((target = mc_table_next(gather->targets, &cursor, &handle)))
+		dispatch_refuse(gather, target, MC_ERR_NOT_READY);
+	return true;
+}
 
-	if (!gather->view || now - gather->confirmed > MC_VIEW_AGE_MAX_MS)
+static mc_err_t admit(gather_t *gather, uint64_t key, target_t **target)
+{
+	if (!gather_fresh(gather))
 		return MC_ERR_NOT_READY;
 	if (gather->closing)
 		return MC_ERR_STOPPING;
@@ -239,6 +264,8 @@
 	mc_wire_message_t *message;
 	shared_t *shared;
 
+	if (intake_check_pause(gather))
+		return;
 	if (mc_wire_decode(data, size, &message)) {
 		mc_count(mc_shard_counters(gather->shard),
 			 MC_COUNTER_BAD_FRAMES, 1);
--- a/src/gather/run.c
+++ b/src/gather/run.c
@@ -119,7 +119,7 @@
 	mc_ms_t now = mc_shard_now(gather->shard);
 	mc_err_t err;
 
-	if (!gather->view || now - gather->confirmed > MC_VIEW_AGE_MAX_MS)
+	if (!gather_fresh(gather))
 		return MC_ERR_NOT_READY;
 	if (gather->closing)
 		return MC_ERR_STOPPING;
--- a/tests/standins/standin_target.c
+++ b/tests/standins/standin_target.c
@@ -115,10 +115,12 @@
 	if (query->limit > HITS_MAX)
 		query->limit = HITS_MAX;
 	target->totals.queries++;
-	counts_add(&target->counts, "search", query->request);
-	if (!admit(target, query))
+	if (!admit(target, query)) {
 		query->error = "shed";
-	else if (!has_snapshot(target, query->snapshot))
+		return;
+	}
+	counts_add(&target->counts, "search", query->request);
+	if (!has_snapshot(target, query->snapshot))
 		query->error = "snapshot";
 	else if (target_chance(target, target->behaviour.fail_search_percent))
 		query->error = "internal";
--- a/tests/system/cluster.c
+++ b/tests/system/cluster.c
@@ -273,9 +273,8 @@
 	free(body);
 }
 
-static bool is_ready(void *ctx)
+bool cluster_ready(const cluster_instance_t *instance)
 {
-	const cluster_instance_t *instance = ctx;
 	char url[2 * HARNESS_URL_SIZE];
 	harness_reply_t reply;
 	bool ready;
@@ -288,6 +287,11 @@
 	return ready;
 }
 
+static bool is_ready(void *ctx)
+{
+	return cluster_ready(ctx);
+}
+
 void cluster_start(cluster_t *cluster)
 {
 	char *text;
--- a/tests/system/cluster.h
+++ b/tests/system/cluster.h
@@ -15,6 +15,8 @@
 	CLUSTER_ADDRESS_SIZE = 64,
 	/* Documents of shard i are i + 1 times this. */
 	CLUSTER_DOCUMENTS = 100,
+	/* Deadline of callers, ms. */
+	CLUSTER_DEADLINE_MS = 3000,
 };
 
 /** CLUSTER_SERVICE - the one service of the configuration */
@@ -136,4 +138,99 @@
 json_int_t cluster_query(const cluster_t *cluster, const char *argument,
 			 const char *name);
 
+/** cluster_ready() - whether the instance's front says that it is ready */
+bool cluster_ready(const cluster_instance_t *instance);
+
+/** cluster_search() - a search of the service by an instance's front */
+harness_reply_t cluster_search(const cluster_instance_t *instance);
+
+/** cluster_search_begin() - the same in a thread */
+harness_call_t *cluster_search_begin(const cluster_instance_t *instance);
+
+/** cluster_begin_within() - a search, or the run of @key, by a deadline, ms */
+harness_call_t *cluster_begin_within(const cluster_instance_t *instance,
+				     const char *key, mc_ms_t deadline);
+
+/** cluster_platform() - set the platform's behaviour; a counter after it */
+json_int_t cluster_platform(const cluster_t *cluster, const char *body,
+			    const char *counter);
+
+/** cluster_run() - a request that may run only once */
+harness_reply_t cluster_run(const cluster_instance_t *instance,
+			    const char *key);
+
+/** cluster_run_begin() - the same in a thread */
+harness_call_t *cluster_run_begin(const cluster_instance_t *instance,
+				  const char *key);
+
+/** cluster_complete() - whether the reply is an answer with all shards */
+bool cluster_complete(const harness_reply_t *reply);
+
+/** cluster_not_run() - whether the reply is an error that says "not run" */
+bool cluster_not_run(const harness_reply_t *reply);
+
+/** cluster_error() - kind of the reply's error; "" for none */
+const char *cluster_error(const harness_reply_t *reply);
+
+/** cluster_request() - id of the reply's request, in answers and errors */
+const char *cluster_request(const harness_reply_t *reply);
+
+/** cluster_wait_complete() - wait until all fronts give complete answers */
+void cluster_wait_complete(cluster_t *cluster);
+
+/** cluster_wait_run() - wait until all fronts have had a request run */
+void cluster_wait_run(cluster_t *cluster);
+
+/** cluster_wait_working() - wait for work in flight; the target that has it */
+cluster_target_t *cluster_wait_working(cluster_t *cluster);
+
+/** cluster_instance_of() - the first instance in the target's data centre */
+cluster_instance_t *cluster_instance_of(cluster_t *cluster,
+					const cluster_target_t *target);
+
+/**
+ * struct cluster_load_t - steady load of callers, and what came of it
+ * @cluster: the installation
+ * @first: index of the first front that is asked
+ * @fronts: number of fronts that are asked in turn
+ * @threads: callers, each with one request at a time
+ * @pause_ms: wait of a caller between two requests, ms
+ * @runs: every second request of a caller is one that may run only once
+ * @ready_only: callers leave out a front that says that it is not ready
+ * @complete: complete answers, and runs that were answered
+ * @partial: answers that name shards as missing
+ * @refused: errors
+ * @broken: requests whose connection was made but that got no whole answer
+ * @unreached: requests without a connection
+ * @not_run: errors that say "not run"
+ */
+typedef struct cluster_load_t {
+	cluster_t *cluster;
+	uint32_t first;
+	uint32_t fronts;
+	uint32_t threads;
+	uint32_t pause_ms;
+	bool runs;
+	bool ready_only;
+	uint32_t complete;
+	uint32_t partial;
+	uint32_t refused;
+	uint32_t broken;
+	uint32_t unreached;
+	uint32_t not_run;
+	struct cluster_load_state_t *state;
+} cluster_load_t;
+
+/** cluster_load_begin() - start the callers; the parameters are set */
+void cluster_load_begin(cluster_load_t *load);
+
+/** cluster_load_wait() - wait until so many more requests were answered */
+void cluster_load_wait(cluster_load_t *load, uint32_t count);
+
+/**
+ * cluster_load_end() - end the callers, whose counts are set, and check that
+ * no target counts a request that was told to be not run
+ */
+void cluster_load_end(cluster_load_t *load);
+
 #endif
--- /dev/null
+++ b/tests/system/cluster_calls.c
@@ -0,0 +1,227 @@
+/*
+ * Requests of callers to an installation, and waiting for what they bring
+ * about.
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdio.h>
+#include <string.h>
+#include <cmocka.h>
+
+#include "cluster.h"
+
+enum {
+	HEADER_SIZE = 64,
+};
+
+#define SEARCH                                                            \
+	"{\"service\":\"" CLUSTER_SERVICE "\",\"query\":{\"q\":\"dry\"}," \
+	"\"limit\":6,\"class\":\"interactive\"}"
+#define RUN                                                                 \
+	"{\"service\":\"" CLUSTER_SERVICE "\",\"route_key\":\"balcony-7\"," \
+	"\"query\":{\"pot\":7}}"
+
+/* A request with the strings that it points to. */
+typedef struct call_t {
+	char url[2 * HARNESS_URL_SIZE];
+	char deadline[HEADER_SIZE];
+	char key[HEADER_SIZE];
+	harness_request_t request;
+} call_t;
+
+/* A run if @key is set, else a search. */
+static void make_call(const cluster_instance_t *instance, const char *key,
+		      mc_ms_t deadline, call_t *call)
+{
+	snprintf(call->url, sizeof(call->url), "%s/v1/%s", instance->url,
+		 key ? "run" : "search");
+	snprintf(call->deadline, sizeof(call->deadline), "Deadline-Ms: %lld",
+		 (long long)deadline);
+	snprintf(call->key, sizeof(call->key), "Idempotency-Key: %s",
+		 key ? key : "");
+	call->request = (harness_request_t){
+		.method = "POST",
+		.url = call->url,
+		.headers = { call->deadline, key ? call->key : NULL },
+		.body = key ? RUN : SEARCH,
+	};
+}
+
+harness_call_t *cluster_begin_within(const cluster_instance_t *instance,
+				     const char *key, mc_ms_t deadline)
+{
+	call_t call;
+
+	make_call(instance, key, deadline, &call);
+	return harness_http_begin(&call.request);
+}
+
+harness_call_t *cluster_search_begin(const cluster_instance_t *instance)
+{
+	return cluster_begin_within(instance, NULL, CLUSTER_DEADLINE_MS);
+}
+
+harness_call_t *cluster_run_begin(const cluster_instance_t *instance,
+				  const char *key)
+{
+	return cluster_begin_within(instance, key, CLUSTER_DEADLINE_MS);
+}
+
+harness_reply_t cluster_search(const cluster_instance_t *instance)
+{
+	call_t call;
+
+	make_call(instance, NULL, CLUSTER_DEADLINE_MS, &call);
+	return harness_http(&call.request);
+}
+
+harness_reply_t cluster_run(const cluster_instance_t *instance, const char *key)
+{
+	call_t call;
+
+	make_call(instance, key, CLUSTER_DEADLINE_MS, &call);
+	return harness_http(&call.request);
+}
+
+json_int_t cluster_platform(const cluster_t *cluster, const char *body,
+			    const char *counter)
+{
+	char url[HARNESS_URL_SIZE];
+	json_t *json;
+	json_int_t count;
+
+	snprintf(url, sizeof(url), "http://%s/standin",
+		 cluster->platform_address);
+	json = harness_post(url, body);
+	count = json_integer_value(json_object_get(json, counter));
+	json_decref(json);
+	return count;
+}
+
+bool cluster_complete(const harness_reply_t *reply)
+{
+	return reply->status == 200 &&
+	       json_is_true(json_object_get(reply->json, "complete"));
+}
+
+static const json_t *error_member(const harness_reply_t *reply, const char *key)
+{
+	return json_object_get(json_object_get(reply->json, "error"), key);
+}
+
+bool cluster_not_run(const harness_reply_t *reply)
+{
+	return json_is_true(error_member(reply, "not_run"));
+}
+
+const char *cluster_error(const harness_reply_t *reply)
+{
+	const char *kind = json_string_value(error_member(reply, "kind"));
+
+	return kind ? kind : "";
+}
+
+/* An error names the request at the end of its message. */
+const char *cluster_request(const harness_reply_t *reply)
+{
+	static const char mark[] = "request ";
+	const char *id =
+		json_string_value(json_object_get(reply->json, "request"));
+	const char *text = json_string_value(error_member(reply, "message"));
+
+	if (id || !text)
+		return id;
+	id = strstr(text, mark);
+	return id ? id + strlen(mark) : NULL;
+}
+
+static bool search_is_complete(void *ctx)
+{
+	harness_reply_t reply = cluster_search(ctx);
+	bool complete = cluster_complete(&reply);
+
+	harness_reply_free(&reply);
+	return complete;
+}
+
+void cluster_wait_complete(cluster_t *cluster)
+{
+	uint32_t i;
+
+	for (i = 0; i < cluster->instance_count; i++)
+		harness_wait("an answer is complete", search_is_complete,
+			     &cluster->instances[i]);
+}
+
+/* Requests are tried until one runs; each has a key of its own. */
+typedef struct attempts_t {
+	const cluster_instance_t *instance;
+	int count;
+} attempts_t;
+
+static bool has_run(void *ctx)
+{
+	attempts_t *attempts = ctx;
+	char key[HEADER_SIZE / 2];
+	harness_reply_t reply;
+	int status;
+
+	snprintf(key, sizeof(key), "first-%s-%d",
+		 strrchr(attempts->instance->ip, '.') + 1, attempts->count++);
+	reply = cluster_run(attempts->instance, key);
+	status = reply.status;
+	assert_int_not_equal(status, 400);
+	assert_true(status == 200 || cluster_not_run(&reply));
+	harness_reply_free(&reply);
+	return status == 200;
+}
+
+void cluster_wait_run(cluster_t *cluster)
+{
+	uint32_t i;
+
+	for (i = 0; i < cluster->instance_count; i++)
+		harness_wait(
+			"a request has run", has_run,
+			&(attempts_t){ .instance = &cluster->instances[i] });
+}
+
+/* The target that has work; found by is_working(). */
+typedef struct working_t {
+	cluster_t *cluster;
+	cluster_target_t *target;
+} working_t;
+
+static bool is_working(void *ctx)
+{
+	working_t *working = ctx;
+	uint32_t i;
+
+	for (i = 0; i < working->cluster->target_count; i++) {
+		working->target = &working->cluster->targets[i];
+		if (cluster_counter(working->target, "in_flight") > 0)
+			return true;
+	}
+	return false;
+}
+
+cluster_target_t *cluster_wait_working(cluster_t *cluster)
+{
+	working_t working = { .cluster = cluster };
+
+	harness_wait("a target has work", is_working, &working);
+	return working.target;
+}
+
+cluster_instance_t *cluster_instance_of(cluster_t *cluster,
+					const cluster_target_t *target)
+{
+	uint32_t i;
+
+	for (i = 0; i < cluster->instance_count; i++)
+		if (cluster->instances[i].data_center == target->data_center)
+			return &cluster->instances[i];
+	fail_msg("no instance in the data centre");
+	return NULL;
+}
--- /dev/null
+++ b/tests/system/cluster_load.c
@@ -0,0 +1,189 @@
+/*
+ * Steady load on an installation by threads in the place of callers. A request
+ * whose answer says "not run" is noted, and looked up at the targets in the
+ * end.
+ */
+#include <pthread.h>
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+#include <cmocka.h>
+
+#include "cluster.h"
+
+enum {
+	THREADS_MAX = 64,
+	/* Requests told to be not run that are looked up. */
+	NOTED_MAX = 100,
+	ID_SIZE = 64,
+	US_PER_MS = 1000,
+};
+
+typedef struct caller_t {
+	pthread_t thread;
+	cluster_load_t *load;
+	uint32_t index;
+	uint32_t sent;
+} caller_t;
+
+typedef struct cluster_load_state_t {
+	pthread_mutex_t lock;
+	bool ending;
+	uint32_t answered;
+	uint32_t noted;
+	char noted_names[NOTED_MAX][ID_SIZE];
+	caller_t callers[THREADS_MAX];
+} state_t;
+
+static void note(state_t *state, const harness_reply_t *reply, const char *key)
+{
+	const char *id = cluster_request(reply);
+	char *name = state->noted_names[state->noted];
+
+	if (state->noted == NOTED_MAX || (!*key && !id))
+		return;
+	if (*key)
+		snprintf(name, ID_SIZE, "key=%s", key);
+	else
+		snprintf(name, ID_SIZE, "request=%s", id);
+	state->noted++;
+}
+
+static void count(cluster_load_t *load, const harness_reply_t *reply,
+		  const char *key)
+{
+	state_t *state = load->state;
+
+	pthread_mutex_lock(&state->lock);
+	if (!reply->status && reply->connected)
+		load->broken++;
+	else if (!reply->status)
+		load->unreached++;
+	else if (reply->status != 200)
+		load->refused++;
+	else if (*key || cluster_complete(reply))
+		load->complete++;
+	else
+		load->partial++;
+	state->answered += reply->status != 0;
+	if (cluster_not_run(reply)) {
+		load->not_run++;
+		note(state, reply, key);
+	}
+	pthread_mutex_unlock(&state->lock);
+}
+
+static bool is_ending(cluster_load_t *load)
+{
+	bool ending;
+
+	pthread_mutex_lock(&load->state->lock);
+	ending = load->state->ending;
+	pthread_mutex_unlock(&load->state->lock);
+	return ending;
+}
+
+static void call_once(caller_t *caller)
+{
+	cluster_load_t *load = caller->load;
+	uint32_t turn = caller->index + caller->sent++;
+	const cluster_instance_t *instance =
+		&load->cluster->instances[load->first + turn % load->fronts];
+	char key[ID_SIZE / 2] = "";
+	harness_reply_t reply;
+
+	if (load->ready_only && !cluster_ready(instance))
+		return;
+	if (load->runs && caller->sent % 2) {
+		snprintf(key, sizeof(key), "load-%u-%u", caller->index,
+			 caller->sent);
+		reply = cluster_run(instance, key);
+	} else {
+		reply = cluster_search(instance);
+	}
+	count(load, &reply, key);
+	harness_reply_free(&reply);
+}
+
+static void *run_caller(void *arg)
+{
+	caller_t *caller = arg;
+
+	while (!is_ending(caller->load)) {
+		call_once(caller);
+		usleep(caller->load->pause_ms * US_PER_MS);
+	}
+	return NULL;
+}
+
+void cluster_load_begin(cluster_load_t *load)
+{
+	state_t *state = calloc(1, sizeof(*state));
+	caller_t *caller;
+	uint32_t i;
+
+	assert_non_null(state);
+	assert_in_range(load->threads, 1, THREADS_MAX);
+	load->state = state;
+	pthread_mutex_init(&state->lock, NULL);
+	for (i = 0; i < load->threads; i++) {
+		caller = &state->callers[i];
+		*caller = (caller_t){ .load = load, .index = i };
+		assert_int_equal(pthread_create(&caller->thread, NULL,
+						run_caller, caller),
+				 0);
+	}
+}
+
+typedef struct progress_t {
+	state_t *state;
+	uint32_t wanted;
+} progress_t;
+
+static bool has_answered(void *ctx)
+{
+	progress_t *progress = ctx;
+	bool reached;
+
+	pthread_mutex_lock(&progress->state->lock);
+	reached = progress->state->answered >= progress->wanted;
+	pthread_mutex_unlock(&progress->state->lock);
+	return reached;
+}
+
+void cluster_load_wait(cluster_load_t *load, uint32_t count)
+{
+	progress_t progress = { .state = load->state };
+
+	pthread_mutex_lock(&load->state->lock);
+	progress.wanted = load->state->answered + count;
+	pthread_mutex_unlock(&load->state->lock);
+	harness_wait("callers get answers", has_answered, &progress);
+}
+
+void cluster_load_end(cluster_load_t *load)
+{
+	state_t *state = load->state;
+	uint32_t i;
+
+	pthread_mutex_lock(&state->lock);
+	state->ending = true;
+	pthread_mutex_unlock(&state->lock);
+	for (i = 0; i < load->threads; i++)
+		pthread_join(state->callers[i].thread, NULL);
+	for (i = 0; i < state->noted; i++) {
+		const char *name = state->noted_names[i];
+		bool search = !strncmp(name, "request=", strlen("request="));
+
+		if (cluster_query(load->cluster, name,
+				  search ? "search" : "run"))
+			fail_msg("told as not run, but it ran: %s", name);
+	}
+	load->state = NULL;
+	pthread_mutex_destroy(&state->lock);
+	free(state);
+}
--- a/tests/system/harness.c
+++ b/tests/system/harness.c
@@ -200,7 +200,12 @@
 
 void harness_signal(harness_t *harness, mc_handle_t process, int signal)
 {
-	kill(process_get(harness, process)->pid, signal);
+	pid_t pid = process_get(harness, process)->pid;
+	siginfo_t info;
+
+	kill(pid, signal);
+	if (signal == SIGSTOP)
+		waitid(P_PID, (id_t)pid, &info, WSTOPPED | WNOWAIT);
 }
 
 bool harness_running(harness_t *harness, mc_handle_t process)
--- a/tests/system/harness.h
+++ b/tests/system/harness.h
@@ -38,6 +38,7 @@
 /**
  * struct harness_reply_t - an HTTP answer
  * @status: status; 0 if no whole answer came
+ * @connected: a connection was made
  * @version: version in the ETag header; 0 without one
  * @body: zero-terminated body, never NULL
  * @json: body as JSON; NULL if it is not JSON
@@ -45,6 +46,7 @@
  */
 typedef struct harness_reply_t {
 	int status;
+	bool connected;
 	uint64_t version;
 	char *body;
 	json_t *json;
@@ -88,7 +90,10 @@
  */
 int harness_stop(harness_t *harness, mc_handle_t process, int signal);
 
-/** harness_signal() - send a signal, such as SIGSTOP, and do not wait */
+/**
+ * harness_signal() - send a signal, and wait for what it does only if it is
+ * SIGSTOP
+ */
 void harness_signal(harness_t *harness, mc_handle_t process, int signal);
 
 /** harness_running() - whether the process has not ended */
--- a/tests/system/harness_http.c
+++ b/tests/system/harness_http.c
@@ -90,12 +90,14 @@
 	struct curl_slist *headers = make_headers(request);
 	CURL *easy = make_handle(request, headers, &body, &reply);
 	long status = 0;
+	CURLcode code = curl_easy_perform(easy);
 
-	if (curl_easy_perform(easy) == CURLE_OK)
+	if (code == CURLE_OK)
 		curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
 	curl_easy_cleanup(easy);
 	curl_slist_free_all(headers);
 	reply.status = (int)status;
+	reply.connected = code != CURLE_COULDNT_CONNECT;
 	reply.body = body.data;
 	reply.json = json_loadb(body.data, body.size, 0, NULL);
 	reply.elapsed = mc_clock_now(clock) - start;
--- /dev/null
+++ b/tests/system/once_test.c
@@ -0,0 +1,228 @@
+/*
+ * System tests of requests that may run only once while processes die: no key
+ * runs twice, and what cannot be known is told as unknown.
+ */
+#include <setjmp.h>
+#include <signal.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <cmocka.h>
+
+#include "cluster.h"
+
+enum {
+	SHARDS = 2,
+	LOST_KEYS = 5,
+	ANSWERS = 60,
+	KEY_SIZE = 16,
+	QUERY_SIZE = 32,
+};
+
+/* Long enough that what the test does meanwhile comes before the answer. */
+#define SLOW "{\"delay_ms\":1500}"
+#define FAST "{\"delay_ms\":0}"
+
+static json_int_t runs_of(const cluster_t *cluster, const char *key)
+{
+	char query[QUERY_SIZE];
+
+	snprintf(query, sizeof(query), "key=%s", key);
+	return cluster_query(cluster, query, "run");
+}
+
+/* The key again: it neither runs nor is called "not run". */
+static void check_not_run_again(const cluster_instance_t *instance,
+				const char *key)
+{
+	harness_reply_t reply = cluster_run(instance, key);
+
+	assert_int_equal(reply.status, 409);
+	assert_string_equal(cluster_error(&reply), "duplicate");
+	assert_false(cluster_not_run(&reply));
+	harness_reply_free(&reply);
+}
+
+static void start(cluster_t *cluster)
+{
+	cluster_start(cluster);
+	cluster_wait_run(cluster);
+}
+
+static void test_gather_killed(void **state)
+{
+	cluster_t *cluster = *state;
+	cluster_instance_t *instance;
+	harness_reply_t reply;
+	harness_call_t *call;
+
+	start(cluster);
+	cluster_standin_all(cluster, SLOW);
+	call = cluster_run_begin(&cluster->instances[0], "k1");
+	instance = cluster_instance_of(cluster, cluster_wait_working(cluster));
+	harness_stop(cluster->harness, instance->gather, SIGKILL);
+	reply = harness_http_end(call);
+	assert_string_equal(cluster_error(&reply), "outcome_unknown");
+	assert_false(cluster_not_run(&reply));
+	harness_reply_free(&reply);
+	cluster_standin_all(cluster, FAST);
+	check_not_run_again(&cluster->instances[1], "k1");
+	check_not_run_again(&cluster->instances[0], "k1");
+	assert_int_equal(runs_of(cluster, "k1"), 1);
+}
+
+static void test_front_killed(void **state)
+{
+	cluster_t *cluster = *state;
+	harness_reply_t reply;
+	harness_call_t *call;
+
+	start(cluster);
+	cluster_standin_all(cluster, SLOW);
+	call = cluster_run_begin(&cluster->instances[0], "k1");
+	cluster_wait_working(cluster);
+	harness_stop(cluster->harness, cluster->instances[0].front, SIGKILL);
+	reply = harness_http_end(call);
+	assert_int_equal(reply.status, 0);
+	harness_reply_free(&reply);
+	cluster_standin_all(cluster, FAST);
+	check_not_run_again(&cluster->instances[1], "k1");
+	assert_int_equal(runs_of(cluster, "k1"), 1);
+}
+
+/* Connections to targets are kept by now; none of them is used for a run. */
+static void test_connection_lost(void **state)
+{
+	cluster_t *cluster = *state;
+	harness_reply_t reply;
+	char key[KEY_SIZE];
+	int i;
+
+	start(cluster);
+	cluster_wait_complete(cluster);
+	cluster_standin_all(cluster, "{\"drop_run\":true}");
+	for (i = 0; i < LOST_KEYS; i++) {
+		snprintf(key, sizeof(key), "k%d", i);
+		reply = cluster_run(&cluster->instances[i % 2], key);
+		assert_string_equal(cluster_error(&reply), "outcome_unknown");
+		harness_reply_free(&reply);
+		assert_int_equal(runs_of(cluster, key), 1);
+	}
+}
+
+static void test_two_fronts_at_once(void **state)
+{
+	cluster_t *cluster = *state;
+	harness_reply_t replies[2];
+	harness_call_t *calls[2];
+	int answered = 0;
+	int i;
+
+	start(cluster);
+	cluster_standin_all(cluster, "{\"delay_ms\":200}");
+	for (i = 0; i < 2; i++)
+		calls[i] = cluster_run_begin(&cluster->instances[i], "k1");
+	for (i = 0; i < 2; i++) {
+		replies[i] = harness_http_end(calls[i]);
+		answered += replies[i].status == 200;
+		assert_false(cluster_not_run(&replies[i]));
+		harness_reply_free(&replies[i]);
+	}
+	assert_in_range(answered, 1, 2);
+	assert_int_equal(runs_of(cluster, "k1"), 1);
+}
+
+/* Runs new keys until one is told as unknown. */
+typedef struct unknowns_t {
+	cluster_t *cluster;
+	int count;
+} unknowns_t;
+
+static bool is_unknown(void *ctx)
+{
+	unknowns_t *unknowns = ctx;
+	harness_reply_t reply;
+	char key[KEY_SIZE];
+	bool unknown;
+
+	snprintf(key, sizeof(key), "u%d", unknowns->count++);
+	reply = cluster_run(&unknowns->cluster->instances[0], key);
+	unknown = !strcmp(cluster_error(&reply), "outcome_unknown");
+	assert_true(!unknown || runs_of(unknowns->cluster, key) == 1);
+	assert_true(!cluster_not_run(&reply) ||
+		    !runs_of(unknowns->cluster, key));
+	harness_reply_free(&reply);
+	return unknown;
+}
+
+/* Whatever targets do: what is told as "not run" is counted by none. */
+static void test_not_run_is_true(void **state)
+{
+	static const char *const behaviours[] = {
+		"{\"delay_ms\":20,\"bears\":1,\"shed\":true}",
+		"{\"bears\":0,\"drop_run\":true}",
+		"{\"drain\":true}",
+		"{\"down\":true}",
+	};
+	cluster_t *cluster = *state;
+	cluster_load_t load = {
+		.cluster = cluster,
+		.fronts = 2,
+		.threads = 8,
+		.pause_ms = 5,
+		.runs = true,
+	};
+	unknowns_t unknowns = { .cluster = cluster };
+	size_t i;
+
+	start(cluster);
+	cluster_load_begin(&load);
+	for (i = 0; i < MC_ARRAY_LEN(behaviours); i++) {
+		cluster_standin_all(cluster, behaviours[i]);
+		cluster_load_wait(&load, ANSWERS);
+		if (strstr(behaviours[i], "drop_run"))
+			harness_wait("a run is unknown", is_unknown, &unknowns);
+	}
+	cluster_load_end(&load);
+	print_message("complete=%u partial=%u refused=%u not_run=%u\n",
+		      load.complete, load.partial, load.refused, load.not_run);
+	assert_int_not_equal(load.not_run, 0);
+	assert_int_equal(load.broken, 0);
+}
+
+static int set_up(void **state)
+{
+	cluster_params_t params = {
+		.name = "once",
+		.data_centers = 2,
+		.instances = 1,
+		.shards = SHARDS,
+		.snapshots = 1,
+	};
+
+	*state = cluster_create(&params);
+	return *state ? 0 : -1;
+}
+
+static int tear_down(void **state)
+{
+	cluster_destroy(*state);
+	return 0;
+}
+
+#define ONCE_TEST(test) cmocka_unit_test_setup_teardown(test, set_up, tear_down)
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		ONCE_TEST(test_gather_killed),
+		ONCE_TEST(test_front_killed),
+		ONCE_TEST(test_connection_lost),
+		ONCE_TEST(test_two_fronts_at_once),
+		ONCE_TEST(test_not_run_is_true),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/tests/system/run_test.c
+++ b/tests/system/run_test.c
@@ -12,84 +12,32 @@
 
 #include "cluster.h"
 
-enum {
-	HEADER_SIZE = 64,
-};
-
-#define RUN                                                                 \
-	"{\"service\":\"" CLUSTER_SERVICE "\",\"route_key\":\"balcony-7\"," \
-	"\"query\":{\"pot\":7}}"
-
-static harness_reply_t run(const cluster_instance_t *instance, const char *key)
-{
-	char url[2 * HARNESS_URL_SIZE], header[HEADER_SIZE];
-
-	snprintf(url, sizeof(url), "%s/v1/run", instance->url);
-	snprintf(header, sizeof(header), "Idempotency-Key: %s", key);
-	return harness_http(&(harness_request_t){
-		.method = "POST",
-		.url = url,
-		.headers = { header, "Deadline-Ms: 3000" },
-		.body = RUN });
-}
-
-static bool says_not_run(const harness_reply_t *reply)
-{
-	const json_t *error = json_object_get(reply->json, "error");
-
-	return json_is_true(json_object_get(error, "not_run"));
-}
-
 static json_int_t runs(const cluster_t *cluster)
 {
 	return cluster_counter_sum(cluster, "runs");
 }
 
-/* Runs keys until one succeeds; each that does not must be told as not run. */
-typedef struct attempts_t {
-	cluster_t *cluster;
-	int count;
-} attempts_t;
-
-static bool has_run(void *ctx)
-{
-	attempts_t *attempts = ctx;
-	char key[HEADER_SIZE / 2];
-	harness_reply_t reply;
-	int status;
-
-	snprintf(key, sizeof(key), "first-%d", attempts->count++);
-	reply = run(&attempts->cluster->instances[0], key);
-	status = reply.status;
-	assert_true(status == 200 || says_not_run(&reply));
-	harness_reply_free(&reply);
-	return status == 200;
-}
-
 /* Return: runs so far. */
 static json_int_t start_and_run(cluster_t *cluster)
 {
-	attempts_t attempts = { .cluster = cluster };
-
 	cluster_start(cluster);
-	harness_wait("a request has run", has_run, &attempts);
-	assert_int_equal(runs(cluster), 1);
-	return 1;
+	cluster_wait_run(cluster);
+	return runs(cluster);
 }
 
 static void test_key_runs_once(void **state)
 {
 	cluster_t *cluster = *state;
 	json_int_t before = start_and_run(cluster);
-	harness_reply_t reply = run(&cluster->instances[0], "k1");
+	harness_reply_t reply = cluster_run(&cluster->instances[0], "k1");
 	uint32_t i;
 
 	assert_int_equal(reply.status, 200);
 	harness_reply_free(&reply);
 	for (i = 0; i < cluster->instance_count; i++) {
-		reply = run(&cluster->instances[i], "k1");
+		reply = cluster_run(&cluster->instances[i], "k1");
 		assert_int_not_equal(reply.status, 0);
-		assert_false(says_not_run(&reply));
+		assert_false(cluster_not_run(&reply));
 		harness_reply_free(&reply);
 	}
 	assert_int_equal(runs(cluster), before + 1);
@@ -103,10 +51,10 @@
 	harness_reply_t reply;
 
 	cluster_standin_all(cluster, "{\"drop_run\":true}");
-	reply = run(&cluster->instances[0], "k1");
+	reply = cluster_run(&cluster->instances[0], "k1");
 	assert_int_not_equal(reply.status, 200);
 	assert_non_null(json_object_get(reply.json, "error"));
-	assert_false(says_not_run(&reply));
+	assert_false(cluster_not_run(&reply));
 	harness_reply_free(&reply);
 	assert_int_equal(runs(cluster), before + 1);
 }
@@ -118,32 +66,23 @@
 	harness_reply_t reply;
 
 	cluster_standin_all(cluster, "{\"drain\":true}");
-	reply = run(&cluster->instances[0], "k1");
+	reply = cluster_run(&cluster->instances[0], "k1");
 	assert_int_equal(reply.status, 503);
-	assert_true(says_not_run(&reply));
+	assert_true(cluster_not_run(&reply));
 	harness_reply_free(&reply);
 	assert_int_equal(runs(cluster), before);
 }
 
-static void platform_control(const cluster_t *cluster, const char *body)
-{
-	char url[HARNESS_URL_SIZE];
-
-	snprintf(url, sizeof(url), "http://%s/standin",
-		 cluster->platform_address);
-	json_decref(harness_post(url, body));
-}
-
 static void test_store_down_refuses(void **state)
 {
 	cluster_t *cluster = *state;
 	json_int_t before = start_and_run(cluster);
 	harness_reply_t reply;
 
-	platform_control(cluster, "{\"down\":true}");
-	reply = run(&cluster->instances[0], "k1");
+	cluster_platform(cluster, "{\"down\":true}", "writes");
+	reply = cluster_run(&cluster->instances[0], "k1");
 	assert_int_equal(reply.status, 503);
-	assert_true(says_not_run(&reply));
+	assert_true(cluster_not_run(&reply));
 	harness_reply_free(&reply);
 	assert_int_equal(runs(cluster), before);
 }
@@ -156,12 +95,12 @@
 	harness_reply_t reply;
 	bool ran;
 
-	platform_control(cluster, "{\"lose_answers\":1}");
-	reply = run(&cluster->instances[0], "k1");
+	cluster_platform(cluster, "{\"lose_answers\":1}", "writes");
+	reply = cluster_run(&cluster->instances[0], "k1");
 	ran = reply.status == 200;
-	assert_true(ran || says_not_run(&reply));
+	assert_true(ran || cluster_not_run(&reply));
 	harness_reply_free(&reply);
-	reply = run(&cluster->instances[1], "k1");
+	reply = cluster_run(&cluster->instances[1], "k1");
 	ran = ran || reply.status == 200;
 	harness_reply_free(&reply);
 	assert_int_equal(runs(cluster), before + ran);
