--- a/tests/system/harness.c
+++ b/tests/system/harness.c
@@ -222,7 +222,12 @@
 
 void harness_signal(harness_t *harness, mc_handle_t process, int signal)
 {
-	kill(process_get(harness, process)->pid, signal);
+	pid_t pid = process_get(harness, process)->pid;
+	siginfo_t info;
+
+	kill(pid, signal);
+	if (signal == SIGSTOP)
+		waitid(P_PID, (id_t)pid, &info, WSTOPPED | WNOWAIT);
 }
 
 pid_t harness_pid(harness_t *harness, mc_handle_t process)
