Measure stragglers, kills, cold starts, overload, a data centre out, slopes

Ruled out: killing one target of a process that serves ten, so the scenario "killed" gives each target a process. The time until a data centre gets no new work was first taken by looking at the targets' counts again and again; reading them took longer than what was to be measured, and it showed 0 ms. Now it comes from the targets' own time since their last work.

Change: seven scenarios beside "steady". The cold target bears 2, not 4, as the load put at most 2 to 5 in flight on it and the ramp had nothing to do.

--- a/bench/bench.c
+++ b/bench/bench.c
@@ -17,6 +17,17 @@
 
 static const scenario_t scenarios[] = {
 	{ "steady", "answer time and cost without faults", scenario_steady },
+	{ "straggler", "one target, or request, in 50 is 20 times slower",
+	  scenario_straggler },
+	{ "killed", "a target is killed and started again", scenario_killed },
+	{ "cold", "five targets start cold under load", scenario_cold },
+	{ "overload", "twice what the targets bear, in three classes",
+	  scenario_overload },
+	{ "out", "a data centre is taken out and back", scenario_out },
+	{ "slopes", "cost against shards, gathers and targets",
+	  scenario_slopes },
+	{ "members", "idle cost against the number of instances",
+	  scenario_members },
 };
 
 static int run_scenario(const scenario_t *scenario, const char *folder,
--- /dev/null
+++ b/bench/faults.c
@@ -0,0 +1,234 @@
+/*
+ * Targets that straggle, die or start cold, and a data centre that is taken
+ * out, under a steady load.
+ */
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "scenario.h"
+#include "trial.h"
+
+enum {
+	DELAY_MS = 5,
+	STRAGGLER_FACTOR = 20,
+	COLD_BEARS = 2,
+	OUT_DATA_CENTER = 1,
+};
+
+static const double run_rate = 5;
+
+typedef struct variant_t {
+	const char *name;
+	const char *policy;
+	uint32_t replicas;
+	trial_event_fn_t prepare;
+} variant_t;
+
+static void run_variants(const bench_t *bench, const trial_t *common,
+			 const variant_t *variants, size_t count)
+{
+	result_t result;
+	trial_t trial;
+	size_t i;
+
+	for (i = 0; i < count; i++) {
+		trial = *common;
+		trial.variant = variants[i].name;
+		trial.policy = variants[i].policy;
+		trial.replicas = variants[i].replicas;
+		trial.prepare = variants[i].prepare;
+		trial_run(&trial, &result);
+		report_row(bench->report, &result);
+	}
+}
+
+/* One target in 50 is slow: one in each data centre, of different shards. */
+static void slow_targets(trial_t *trial)
+{
+	const cluster_t *cluster = trial->cluster;
+	uint32_t shards = cluster->params.shards;
+	uint32_t step = cluster->target_count / 2;
+	char body[HARNESS_URL_SIZE];
+
+	snprintf(body, sizeof(body), "{\"delay_ms\":%d}",
+		 DELAY_MS * STRAGGLER_FACTOR);
+	cluster_standin(&cluster->targets[0], body);
+	cluster_standin(&cluster->targets[step + shards / 2], body);
+}
+
+/* Every request is slow with the chance of one in 50. */
+static void slow_requests(trial_t *trial)
+{
+	cluster_standin_all(trial->cluster,
+			    "{\"delay_factor\":20,\"slow_percent\":2}");
+}
+
+void scenario_straggler(const bench_t *bench)
+{
+	static const char no_hedge[] = "hedge = \"none\"\n";
+	static const char round_robin[] = "replica = \"round_robin\"\n";
+	static const char hash[] = "replica = \"hash\"\n";
+	static const variant_t variants[] = {
+		{ "no straggler", NULL, 1, NULL },
+		{ "target x20; hedge p95", NULL, 1, slow_targets },
+		{ "target x20; hedge none", no_hedge, 1, slow_targets },
+		{ "requests 2% x20; hedge p95", NULL, 1, slow_requests },
+		{ "requests 2% x20; hedge none", no_hedge, 1, slow_requests },
+		{ "2 local replicas; no straggler", NULL, 2, NULL },
+		{ "2 local; target x20; two_choices", NULL, 2, slow_targets },
+		{ "2 local; target x20; round_robin", round_robin, 2,
+		  slow_targets },
+		{ "2 local; target x20; hash", hash, 2, slow_targets },
+		{ "2 local; target x20; two_choices, hedge none", no_hedge, 2,
+		  slow_targets },
+		{ "2 local; target x20; round_robin, hedge none",
+		  "replica = \"round_robin\"\nhedge = \"none\"\n", 2,
+		  slow_targets },
+	};
+	const trial_t common = {
+		.scenario = "straggler",
+		.rate = bench->rate,
+		.runs = run_rate,
+		.seconds = bench->seconds,
+	};
+
+	run_variants(bench, &common, variants, MC_ARRAY_LEN(variants));
+}
+
+/* Kills a target a quarter into the load and starts it again at 5/8. */
+static void kill_target(trial_t *trial)
+{
+	cluster_t *cluster = trial->cluster;
+	cluster_target_t *target = &cluster->targets[0];
+
+	trial_pause(trial->seconds / 4);
+	trial->lost = (int)target->shard;
+	harness_stop(cluster->harness, target->process, SIGKILL);
+	trial_pause(trial->seconds * 3 / 8);
+	cluster_start_target(cluster, target);
+	cluster_standin(target, trial->behaviour);
+}
+
+void scenario_killed(const bench_t *bench)
+{
+	static const variant_t variants[] = {
+		{ "hedge p95, retry budget", NULL, 1, NULL },
+		{ "hedge none, retry budget", "hedge = \"none\"\n", 1, NULL },
+		{ "hedge p95, retry none", "retry = \"none\"\n", 1, NULL },
+		{ "hedge none, retry none",
+		  "hedge = \"none\"\nretry = \"none\"\n", 1, NULL },
+	};
+	const trial_t common = {
+		.scenario = "killed",
+		.behaviour = "{\"delay_ms\":5}",
+		.rate = bench->rate,
+		.runs = run_rate,
+		.seconds = bench->seconds,
+		.targets_per_process = 1,
+		.event = kill_target,
+	};
+
+	run_variants(bench, &common, variants, MC_ARRAY_LEN(variants));
+}
+
+/* Restarts five targets a quarter into the load. */
+static void restart_targets(trial_t *trial)
+{
+	const cluster_t *cluster = trial->cluster;
+	uint32_t i;
+
+	trial_pause(trial->seconds / 4);
+	for (i = 0; i < cluster->target_count; i += cluster->target_count / 5)
+		cluster_standin(&cluster->targets[i], "{\"restart\":true}");
+}
+
+void scenario_cold(const bench_t *bench)
+{
+	static const variant_t variants[] = {
+		{ "ramp on", NULL, 1, NULL },
+		{ "ramp off", "ramp = \"off\"\n", 1, NULL },
+		{ "ramp off, limit none", "ramp = \"off\"\nlimit = \"none\"\n",
+		  1, NULL },
+	};
+	const trial_t common = {
+		.scenario = "cold",
+		.behaviour = "{\"delay_ms\":20,\"cold_ms\":2000,"
+			     "\"cold_bears\":2,\"bears\":64,\"shed\":true}",
+		.bears = COLD_BEARS,
+		.rate = 2 * bench->rate,
+		.runs = run_rate,
+		.seconds = bench->seconds,
+		.event = restart_targets,
+	};
+
+	run_variants(bench, &common, variants, MC_ARRAY_LEN(variants));
+}
+
+static void put_config(cluster_t *cluster, int out)
+{
+	char *text = cluster_config(cluster, out);
+
+	cluster_put_config(cluster, text);
+	free(text);
+}
+
+/* Return: time since work came last to any target of the data centre, ms. */
+static mc_ms_t idle_of(const cluster_t *cluster, uint32_t data_center)
+{
+	mc_ms_t least = HARNESS_WAIT_MS;
+	mc_ms_t idle;
+	uint32_t i;
+
+	for (i = 0; i < cluster->target_count; i++) {
+		if (cluster->targets[i].data_center != data_center)
+			continue;
+		idle = cluster_counter(&cluster->targets[i], "idle_ms");
+		if (idle < least)
+			least = idle;
+	}
+	return least;
+}
+
+/*
+ * Takes a data centre out a quarter into the load, and back at 5/8. Notes how
+ * long after the write of the configuration its targets got work.
+ */
+static void take_out(trial_t *trial)
+{
+	cluster_t *cluster = trial->cluster;
+	const mc_clock_t *clock = mc_clock_system();
+	mc_ms_t start, last;
+
+	trial_pause(trial->seconds / 4);
+	put_config(cluster, OUT_DATA_CENTER);
+	start = mc_clock_now(clock);
+	trial_pause(trial->seconds * 3 / 8);
+	last = mc_clock_now(clock) - idle_of(cluster, OUT_DATA_CENTER);
+	*(double *)trial->ctx = (double)(last - start);
+	put_config(cluster, -1);
+}
+
+void scenario_out(const bench_t *bench)
+{
+	double quiet_ms = 0;
+	trial_t trial = {
+		.scenario = "out",
+		.variant = "no change",
+		.rate = bench->rate,
+		.runs = run_rate,
+		.seconds = bench->seconds,
+		.ctx = &quiet_ms,
+	};
+	result_t result;
+
+	trial_run(&trial, &result);
+	result_extra(&result, "last_new_work_ms", 0);
+	report_row(bench->report, &result);
+	trial.variant = "dc1 out and back";
+	trial.event = take_out;
+	trial_run(&trial, &result);
+	result_extra(&result, "last_new_work_ms", quiet_ms);
+	report_row(bench->report, &result);
+}
--- a/bench/result.c
+++ b/bench/result.c
@@ -32,6 +32,7 @@
 {
 	report_t *report = calloc(1, sizeof(*report));
 	char path[PATH_SIZE];
+	double load = 0;
 
 	if (!report)
 		return NULL;
@@ -41,7 +42,9 @@
 		free(report);
 		return NULL;
 	}
-	printf("\n### %s: %s\n\n", scenario, title);
+	getloadavg(&load, 1);
+	printf("\n### %s: %s\n\nLoad average of the machine before: %.1f.\n\n",
+	       scenario, title, load);
 	printf("| variant | searches/s | answered of sent | p50 ms | p99 ms | "
 	       "p99.9 ms | coverage | dishonest | extra load %% | refused | "
 	       "duplicates of runs | most in flight (bears) | breaches |\n"
@@ -92,13 +95,14 @@
 {
 	uint32_t i;
 
-	fprintf(csv, "scenario,variant,rate,sent,not_sent,late_ms,answered,"
-		     "p50_ms,p99_ms,p999_ms,coverage,partial,dishonest,"
-		     "extra_percent,hedges,retries,refused,runs,duplicates,"
-		     "max_in_flight,bears,breaches,cold_breaches,sheds,"
-		     "front_us,gather_us,front_query_us,gather_query_us,"
-		     "front_rss_mb,gather_rss_mb,log_dropped,"
-		     "urgent_p99_ms,interactive_p99_ms,report_p99_ms");
+	fprintf(csv,
+		"scenario,variant,rate,sent,not_sent,late_ms,answered,"
+		"p50_ms,p99_ms,p999_ms,coverage,partial,dishonest,"
+		"extra_percent,hedges,retries,denied,refused,runs,duplicates,"
+		"max_in_flight,bears,breaches,cold_breaches,sheds,"
+		"front_us,gather_us,front_query_us,gather_query_us,"
+		"front_rss_mb,gather_rss_mb,log_dropped,"
+		"urgent_p99_ms,interactive_p99_ms,report_p99_ms");
 	for (i = 0; i < row->extra_count; i++)
 		fprintf(csv, ",%s", row->extras[i].name);
 	fprintf(csv, "\n");
@@ -114,11 +118,12 @@
 		row->scenario, row->variant, row->rate, row->sent,
 		row->not_sent, row->late_ms, row->answered, row->p50, row->p99,
 		row->p999, row->coverage, row->partial, row->dishonest);
-	fprintf(csv, "%.3f,%.0f,%.0f,%s,%zu,%zu,%lld,%lld,%lld,%lld,%lld,",
-		row->extra_percent, row->hedges, row->retries, kinds, row->runs,
-		row->duplicates, (long long)row->max_in_flight,
-		(long long)row->bears, (long long)row->breaches,
-		(long long)row->cold_breaches, (long long)row->sheds);
+	fprintf(csv, "%.3f,%.0f,%.0f,%.0f,%s,%zu,%zu,%lld,%lld,%lld,%lld,%lld,",
+		row->extra_percent, row->hedges, row->retries, row->denied,
+		kinds, row->runs, row->duplicates,
+		(long long)row->max_in_flight, (long long)row->bears,
+		(long long)row->breaches, (long long)row->cold_breaches,
+		(long long)row->sheds);
 	fprintf(csv, "%.2f,%.2f,%.1f,%.1f,%.2f,%.2f,%.0f,%.2f,%.2f,%.2f",
 		row->front_us, row->gather_us, row->front_query_us,
 		row->gather_query_us, row->front_rss, row->gather_rss,
@@ -147,18 +152,18 @@
 
 	printf("\n| variant | front us per sub-query | gather us per sub-query "
 	       "| front us per search | gather us per search | front MB | "
-	       "gather MB | hedges | retries | sheds | cold breaches | log "
+	       "gather MB | hedges | retries | denied | sheds | cold breaches | log "
 	       "lines dropped | latest send ms |\n"
 	       "| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | "
-	       "--- | --- | --- |\n");
+	       "--- | --- | --- | --- |\n");
 	for (i = 0; i < report->count; i++) {
 		row = &report->rows[i];
-		printf("| %s | %.1f | %.1f | %.0f | %.0f | %.1f | %.1f | %.0f "
+		printf("| %s | %.1f | %.1f | %.0f | %.0f | %.1f | %.1f | %.0f | %.0f "
 		       "| %.0f | %lld | %lld | %.0f | %.1f |\n",
 		       row->variant, row->front_us, row->gather_us,
 		       row->front_query_us, row->gather_query_us,
 		       row->front_rss, row->gather_rss, row->hedges,
-		       row->retries, (long long)row->sheds,
+		       row->retries, row->denied, (long long)row->sheds,
 		       (long long)row->cold_breaches, row->log_dropped,
 		       row->late_ms);
 	}
--- a/bench/result.h
+++ b/bench/result.h
@@ -42,17 +42,24 @@
  * @dishonest: answers whose coverage is not that of their hits or targets
  * @shards_asked: shards of all answered searches
  * @extra_percent: sub-queries at targets per shard asked, less 1, in percent
- * @hedges: counters of the fronts
+ * @hedges: counters of the fronts: sub-queries against stragglers
+ * @retries: sub-queries sent again after a failure
+ * @denied: hedges and retries that the budget did not allow
  * @runs: keys of runs that were sent, each to two fronts
  * @duplicates: keys that ran more than once
  * @max_in_flight: most in flight at a target
  * @bears: what a target bears, 0 without a limit
  * @breaches: sub-queries above what the target bore, cold or warm
  * @cold_breaches: those at a cold target
+ * @sheds: sub-queries that targets shed
  * @front_us: processor time of fronts per sub-query, microseconds
- * @front_query_us: the same per answered search
+ * @gather_us: the same of gathers
+ * @front_query_us: the same of fronts per answered search
+ * @gather_query_us: the same of gathers per answered search
  * @front_rss: mean resident memory of a front, MB
+ * @gather_rss: mean resident memory of a gather, MB
  * @log_dropped: log lines that fronts dropped
+ * @extras: figures that only this scenario has
  */
 typedef struct result_t {
 	char scenario[RESULT_NAME_SIZE];
@@ -77,6 +84,7 @@
 	double extra_percent;
 	double hedges;
 	double retries;
+	double denied;
 	size_t runs;
 	size_t duplicates;
 	json_int_t max_in_flight;
--- a/bench/trial.c
+++ b/bench/trial.c
@@ -36,6 +36,7 @@
 typedef struct metrics_t {
 	double hedges;
 	double retries;
+	double denied;
 	double log_dropped;
 	double control_bytes;
 } metrics_t;
@@ -78,6 +79,8 @@
 		metrics->hedges += value;
 	else if (!strcmp(name, "retries"))
 		metrics->retries += value;
+	else if (!strcmp(name, "retries_denied"))
+		metrics->denied += value;
 	else if (!strcmp(name, "log_lines_dropped"))
 		metrics->log_dropped += value;
 	else if (!strcmp(name, "control_bytes"))
@@ -199,6 +202,7 @@
 	result->gather_rss = after->gathers.rss_kb / KB_PER_MB / count;
 	result->hedges = after->metrics.hedges - before->metrics.hedges;
 	result->retries = after->metrics.retries - before->metrics.retries;
+	result->denied = after->metrics.denied - before->metrics.denied;
 	result->log_dropped =
 		after->metrics.log_dropped - before->metrics.log_dropped;
 	if (trial->rate > 0)
