--- a/tests/system/cluster.h
+++ b/tests/system/cluster.h
@@ -175,9 +175,10 @@
 harness_call_t *cluster_begin_within(const cluster_instance_t *instance,
 				     const char *key, mc_ms_t deadline);
 
-/** cluster_platform() - set the platform's behaviour; a counter after it */
-json_int_t cluster_platform(const cluster_t *cluster, const char *body,
-			    const char *counter);
+/** cluster_platform_count() - set the platform's behaviour; a counter after it
+ */
+json_int_t cluster_platform_count(const cluster_t *cluster, const char *body,
+				  const char *counter);
 
 /** cluster_run() - a request that may run only once */
 harness_reply_t cluster_run(const cluster_instance_t *instance,
--- a/tests/system/cluster_calls.c
+++ b/tests/system/cluster_calls.c
@@ -84,17 +84,12 @@
 	return harness_http(&call.request);
 }
 
-json_int_t cluster_platform(const cluster_t *cluster, const char *body,
-			    const char *counter)
+json_int_t cluster_platform_count(const cluster_t *cluster, const char *body,
+				  const char *counter)
 {
-	char url[HARNESS_URL_SIZE];
-	json_t *json;
-	json_int_t count;
+	json_t *json = cluster_platform(cluster, body);
+	json_int_t count = json_integer_value(json_object_get(json, counter));
 
-	snprintf(url, sizeof(url), "http://%s/standin",
-		 cluster->platform_address);
-	json = harness_post(url, body);
-	count = json_integer_value(json_object_get(json, counter));
 	json_decref(json);
 	return count;
 }
--- a/tests/system/harness.h
+++ b/tests/system/harness.h
@@ -92,7 +92,6 @@
 int harness_stop(harness_t *harness, mc_handle_t process, int signal);
 
 /**
-<<<<<<< HEAD
  * harness_finish() - wait for a program that ends by itself
  * @harness: the harness
  * @process: the program
@@ -107,12 +106,10 @@
 /** harness_sleep() - let time pass in which nothing is to happen */
 void harness_sleep(mc_ms_t time);
 
-/** harness_signal() - send a signal, such as SIGSTOP, and do not wait */
-=======
+/**
  * harness_signal() - send a signal, and wait for what it does only if it is
  * SIGSTOP
  */
->>>>>>> flt
 void harness_signal(harness_t *harness, mc_handle_t process, int signal);
 
 /** harness_running() - whether the process has not ended */
--- a/tests/system/pause_test.c
+++ b/tests/system/pause_test.c
@@ -152,7 +152,7 @@
 
 static bool has_claimed(void *ctx)
 {
-	return cluster_platform(ctx, "{}", "writes") > 1;
+	return cluster_platform_count(ctx, "{}", "writes") > 1;
 }
 
 /*
@@ -169,7 +169,7 @@
 
 	cluster_start(cluster);
 	cluster_wait_complete(cluster);
-	cluster_platform(cluster, SLOW_STORE, "writes");
+	cluster_platform_count(cluster, SLOW_STORE, "writes");
 	calls[0] = cluster_begin_within(instance, "k1", LONG_DEADLINE_MS);
 	harness_wait("the key is claimed", has_claimed, cluster);
 	harness_signal(cluster->harness, instance->front, SIGSTOP);
--- a/tests/system/run_test.c
+++ b/tests/system/run_test.c
@@ -79,7 +79,7 @@
 	json_int_t before = start_and_run(cluster);
 	harness_reply_t reply;
 
-	cluster_platform(cluster, "{\"down\":true}", "writes");
+	cluster_platform_count(cluster, "{\"down\":true}", "writes");
 	reply = cluster_run(&cluster->instances[0], "k1");
 	assert_int_equal(reply.status, 503);
 	assert_true(cluster_not_run(&reply));
@@ -95,7 +95,7 @@
 	harness_reply_t reply;
 	bool ran;
 
-	cluster_platform(cluster, "{\"lose_answers\":1}", "writes");
+	cluster_platform_count(cluster, "{\"lose_answers\":1}", "writes");
 	reply = cluster_run(&cluster->instances[0], "k1");
 	ran = reply.status == 200;
 	assert_true(ran || cluster_not_run(&reply));
