Show idle installations in a table of their own

Cause: the table of the scenario "members" had no answers to show.

Ruled out: one plot of everything, as the scenarios share no axis.

--- a/bench/result.c
+++ b/bench/result.c
@@ -45,11 +45,6 @@
 	getloadavg(&load, 1);
 	printf("\n### %s: %s\n\nLoad average of the machine before: %.1f.\n\n",
 	       scenario, title, load);
-	printf("| variant | searches/s | answered of sent | p50 ms | p99 ms | "
-	       "p99.9 ms | coverage | dishonest | extra load %% | refused | "
-	       "duplicates of runs | most in flight (bears) | breaches |\n"
-	       "| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | "
-	       "--- | --- | --- |\n");
 	fflush(stdout);
 	return report;
 }
@@ -73,6 +68,15 @@
 				mc_error_name((mc_err_t)i), result->refused[i]);
 }
 
+static void print_head(void)
+{
+	printf("| variant | searches/s | answered of sent | p50 ms | p99 ms | "
+	       "p99.9 ms | coverage | dishonest | extra load %% | refused | "
+	       "duplicates of runs | most in flight (bears) | breaches |\n"
+	       "| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | "
+	       "--- | --- | --- |\n");
+}
+
 static void print_row(const result_t *row)
 {
 	char kinds[KINDS_SIZE];
@@ -139,7 +143,10 @@
 {
 	if (!report->count)
 		write_csv_head(report->csv, result);
-	print_row(result);
+	if (!report->count && result->rate > 0)
+		print_head();
+	if (result->rate > 0)
+		print_row(result);
 	write_csv(report->csv, result);
 	if (report->count < ROWS_MAX)
 		report->rows[report->count++] = *result;
@@ -210,13 +217,14 @@
 
 void report_close(report_t *report)
 {
-	if (report->count) {
+	const result_t *first = &report->rows[0];
+
+	if (report->count && first->rate > 0)
 		print_costs(report);
-		if (report->rows[0].class_sent[0])
-			print_classes(report);
-		if (report->rows[0].extra_count)
-			print_extras(report);
-	}
+	if (report->count && first->class_sent[0])
+		print_classes(report);
+	if (report->count && first->extra_count)
+		print_extras(report);
 	fflush(stdout);
 	fclose(report->csv);
 	free(report);
--- a/bench/trial.c
+++ b/bench/trial.c
@@ -24,6 +24,7 @@
 	PERCENT = 100,
 	NS_PER_S = 1000000000,
 	US_PER_MS = 1000,
+	MS_PER_S = 1000,
 	KB_PER_MB = 1024,
 	LINE_SIZE = 128,
 };
@@ -205,16 +206,26 @@
 	result->denied = after->metrics.denied - before->metrics.denied;
 	result->log_dropped =
 		after->metrics.log_dropped - before->metrics.log_dropped;
-	if (trial->rate > 0)
-		return;
+}
+
+static void fill_idle(const trial_t *trial, const reading_t *before,
+		      const reading_t *after, result_t *result)
+{
+	double fronts = after->fronts.cpu_ms - before->fronts.cpu_ms;
+	double gathers = after->gathers.cpu_ms - before->gathers.cpu_ms;
+	double control =
+		after->metrics.control_bytes - before->metrics.control_bytes;
+	double count = trial->cluster->instance_count;
+	double ms = trial->seconds * MS_PER_S;
+
 	result_extra(result, "front_idle_percent",
-		     PERCENT * fronts / count / (trial->seconds * 1000));
+		     PERCENT * fronts / count / ms);
 	result_extra(result, "gather_idle_percent",
-		     PERCENT * gathers / count / (trial->seconds * 1000));
-	result_extra(
-		result, "front_control_bytes_per_s",
-		(after->metrics.control_bytes - before->metrics.control_bytes) /
-			count / trial->seconds);
+		     PERCENT * gathers / count / ms);
+	result_extra(result, "front_control_bytes_per_s",
+		     control / count / trial->seconds);
+	result_extra(result, "front_idle_mb", result->front_rss);
+	result_extra(result, "gather_idle_mb", result->gather_rss);
 }
 
 static load_result_t run_load(trial_t *trial, const char *name, double seconds,
@@ -295,8 +306,11 @@
 	check_answers(trial->cluster, &load, trial->lost, result);
 	check_runs(trial->cluster, &load, result);
 	fill_costs(trial, before, after, queries, result);
-	result->extra_percent =
-		PERCENT * (ratio((double)queries, result->shards_asked) - 1);
+	if (trial->rate <= 0)
+		fill_idle(trial, before, after, result);
+	if (result->shards_asked > 0)
+		result->extra_percent =
+			PERCENT * ((double)queries / result->shards_asked - 1);
 	load_free(&load);
 }
 
