Hedge against the service's pace, route around slow and busy, queue by class

At twice what targets bear, urgent requests waited in the gather's queues behind reports until the deadline (urgent p99 1,001 ms against 60 ms at half the load), and admission began at its most and fell by 10% a second.

Change: hedges come at the lesser of the shard's p95 and twice the service's. A local replica that takes twice the fastest one's time and 5 ms, or that was at its limit in the last 100 ms, goes after a remote one; a canceled sub-query counts as taking at least the time it had. A gather's queue is by class, a sub-query waits there for a quarter of its time at most, and a more urgent one takes the place of a less urgent one. Admission begins at 32, doubles until the first overload and falls by 20%. Hedges and retries together are extra_percent now, three of five for hedges.

A failed try, reverted: a ceiling below the concurrency at which a target shed, raised by 25% each 5 s. Sheds stayed at 8 per second and target, and a target that sheds for a moment recovered too slowly (test_adaptive).

Seen to fail: test_slow_local_goes_last and test_busy_goes_last with the router as it was; test_hedge with the old delay.

--- a/src/front/front.c
+++ b/src/front/front.c
@@ -7,7 +7,12 @@
 #include <string.h>
 
 enum {
-	EXTRAS_BURST = 200,
+	/* Extras that can be saved up. */
+	HEDGES_BURST = 20,
+	RETRIES_BURST = 100,
+	/* Hedges' part of the extras, in percent. */
+	HEDGES_PART = 60,
+	PERCENT = 100,
 	ADMISSION_MIN = 8,
 	CLAIM_TIMEOUT_MS = 1000,
 };
@@ -48,11 +53,14 @@
 		.min_concurrency = ADMISSION_MIN,
 	};
 
+	uint32_t hedges = policy->extra_percent * HEDGES_PART / PERCENT;
+
 	front->admission = mc_admission_create(&admission);
 	front->hedge_policy = mc_hedge_policy(policy->hedge);
 	front->retry_enabled = strcmp(policy->retry, "none") != 0;
-	mc_budget_init(&front->hedges, policy->extra_percent, EXTRAS_BURST);
-	mc_budget_init(&front->retries, policy->extra_percent, EXTRAS_BURST);
+	mc_budget_init(&front->hedges, hedges, HEDGES_BURST);
+	mc_budget_init(&front->retries, policy->extra_percent - hedges,
+		       RETRIES_BURST);
 	front->retries.unbounded = !strcmp(policy->retry, "unbounded");
 }
 
--- a/src/front/front_private.h
+++ b/src/front/front_private.h
@@ -233,9 +233,11 @@
 void hedge_set(front_t *front, query_t *query, uint32_t slot);
 void hedge_plan(front_t *front, query_t *query);
 
-/* latency_book.c: each shard's own 95th percentile. */
-mc_quantile_t *latency_book_find(front_t *front, const query_t *query,
-				 uint32_t slot);
+/* latency_book.c: 95th percentiles of shards and of services. */
+const mc_quantile_t *latency_book_shard(front_t *front, const query_t *query,
+					uint32_t slot);
+const mc_quantile_t *latency_book_service(front_t *front, const query_t *query,
+					  uint32_t slot);
 void latency_book_add(front_t *front, const query_t *query, uint32_t slot,
 		      mc_ms_t latency);
 
--- a/src/front/hedge.c
+++ b/src/front/hedge.c
@@ -8,8 +8,10 @@
 void hedge_set(front_t *front, query_t *query, uint32_t slot)
 {
 	mc_ms_t now = mc_shard_now(front->shard);
-	const mc_quantile_t *p95 = latency_book_find(front, query, slot);
-	mc_ms_t delay = front->hedge_policy->delay(p95, query->deadline - now);
+	mc_ms_t delay = front->hedge_policy->delay(
+		latency_book_shard(front, query, slot),
+		latency_book_service(front, query, slot),
+		query->deadline - now);
 
 	query->slots[slot].hedge_at =
 		delay == MC_MS_NEVER ? MC_MS_NEVER : now + delay;
--- a/src/front/latency_book.c
+++ b/src/front/latency_book.c
@@ -1,6 +1,6 @@
 /*
- * Each shard's own 95th percentile of latency, kept by the layout's name, so
- * that it outlives changes of the configuration.
+ * The 95th percentile of latency of each shard and of each service, kept by
+ * names, so that they outlive changes of the configuration.
  */
 #include "front_private.h"
 
@@ -11,21 +11,27 @@
 	mc_quantile_t quantile;
 } entry_t;
 
-static uint64_t key_of(const query_t *query, uint32_t slot)
+static uint64_t service_key(const query_t *query, uint32_t slot)
+{
+	const part_t *part = &query->parts[query->slots[slot].part];
+
+	return mc_hash_string(
+		query->view->config->services[part->service].name);
+}
+
+static uint64_t shard_key(const query_t *query, uint32_t slot)
 {
-	const mc_config_t *config = query->view->config;
 	const slot_t *shard = &query->slots[slot];
 	const part_t *part = &query->parts[shard->part];
-	uint64_t service = mc_hash_string(config->services[part->service].name);
-	uint64_t layout = mc_hash_string(config->layouts[part->layout].name);
+	uint64_t layout =
+		mc_hash_string(query->view->config->layouts[part->layout].name);
 
-	return mc_hash_pair(mc_hash_pair(service, layout), shard->shard);
+	return mc_hash_pair(mc_hash_pair(service_key(query, slot), layout),
+			    shard->shard);
 }
 
-mc_quantile_t *latency_book_find(front_t *front, const query_t *query,
-				 uint32_t slot)
+static mc_quantile_t *find(front_t *front, uint64_t key)
 {
-	uint64_t key = key_of(query, slot);
 	entry_t *entry = apr_hash_get(front->latencies, &key, sizeof(key));
 
 	if (entry)
@@ -36,9 +42,23 @@
 	return &entry->quantile;
 }
 
+const mc_quantile_t *latency_book_shard(front_t *front, const query_t *query,
+					uint32_t slot)
+{
+	return find(front, shard_key(query, slot));
+}
+
+const mc_quantile_t *latency_book_service(front_t *front, const query_t *query,
+					  uint32_t slot)
+{
+	return find(front, service_key(query, slot));
+}
+
 void latency_book_add(front_t *front, const query_t *query, uint32_t slot,
 		      mc_ms_t latency)
 {
-	mc_quantile_add(latency_book_find(front, query, slot), book_quantile,
+	mc_quantile_add(find(front, shard_key(query, slot)), book_quantile,
+			latency);
+	mc_quantile_add(find(front, service_key(query, slot)), book_quantile,
 			latency);
 }
--- a/src/front/plan.c
+++ b/src/front/plan.c
@@ -208,6 +208,7 @@
 			.snapshot = config->snapshots[of->snapshot].id,
 			.query = query->text,
 			.limit = query->limit,
+			.klass = (uint32_t)query->klass,
 			.time_left = left < TIME_LEFT_MIN_MS ?
 					     TIME_LEFT_MIN_MS :
 					     left,
@@ -361,6 +362,15 @@
 	return count;
 }
 
+static void sub_query_cancel(front_t *front, const sub_query_t *sub)
+{
+	mc_ms_t elapsed = mc_shard_now(front->shard) - sub->sent_at;
+
+	if (sub->router_epoch == front->router_epoch)
+		mc_router_canceled(front->router, sub->choice, elapsed);
+	mc_table_remove(front->sub_queries, sub->handle);
+}
+
 static void send_cancel(front_t *front, mc_handle_t gather, uint64_t *ids,
 			uint32_t count)
 {
@@ -372,10 +382,8 @@
 
 	gather_send(front, gather, &message);
 	for (i = 0; i < count; i++)
-		sub_query_end(front,
-			      mc_table_get(front->sub_queries,
-					   mc_handle_unpack(ids[i])),
-			      -1);
+		sub_query_cancel(front, mc_table_get(front->sub_queries,
+						     mc_handle_unpack(ids[i])));
 }
 
 void plan_cancel(front_t *front, query_t *query)
--- a/src/front/query.c
+++ b/src/front/query.c
@@ -228,6 +228,9 @@
 	if (err == MC_ERR_TARGET_DRAINING)
 		mc_router_target_state(front->router, sub->choice.target,
 				       MC_TARGET_DRAINING, now);
+	else if (err == MC_ERR_TARGET_LIMITED || err == MC_ERR_TARGET_SHED)
+		mc_router_target_state(front->router, sub->choice.target,
+				       MC_TARGET_BUSY, now);
 	else if (err == MC_ERR_NO_TARGET || err == MC_ERR_TARGET_FAILED)
 		mc_router_target_state(front->router, sub->choice.target,
 				       MC_TARGET_FAILED, now);
--- a/src/gather/dispatch.c
+++ b/src/gather/dispatch.c
@@ -13,6 +13,9 @@
 	/* Sub-queries that may wait per one that may be at the target. */
 	WAITING_PER_SLOT = 2,
 	WAITING_MIN = 4,
+	/* Part of its time that a sub-query may wait, and the least of it. */
+	WAIT_PART = 4,
+	WAIT_MIN_MS = 2,
 };
 
 typedef struct {
@@ -32,7 +35,7 @@
 	mc_table_remove(gather->sub_queries, sub->handle);
 }
 
-static void refuse(gather_t *gather, sub_query_t *sub, mc_err_t reason)
+void sub_query_refuse(gather_t *gather, sub_query_t *sub, mc_err_t reason)
 {
 	if (!sub->canceled) {
 		mc_log(gather->log, MC_LOG_INFO, "gather",
@@ -44,37 +47,14 @@
 	sub_query_remove(gather, sub);
 }
 
-static sub_query_t *pop(gather_t *gather, target_t *target)
-{
-	sub_query_t *sub = mc_table_get(gather->sub_queries, target->first);
-
-	if (!sub) {
-		target->waiting = 0;
-		return NULL;
-	}
-	target->first = sub->next;
-	target->waiting--;
-	return sub;
-}
-
-static void push(gather_t *gather, target_t *target, sub_query_t *sub)
-{
-	sub_query_t *last = mc_table_get(gather->sub_queries, target->last);
-
-	if (target->waiting && last)
-		last->next = sub->handle;
-	else
-		target->first = sub->handle;
-	target->last = sub->handle;
-	target->waiting++;
-}
-
 void dispatch_refuse(gather_t *gather, target_t *target, mc_err_t reason)
 {
 	sub_query_t *sub;
+	uint32_t i;
 
-	while (target->waiting && (sub = pop(gather, target)))
-		refuse(gather, sub, reason);
+	for (i = 0; i < MC_CLASS_COUNT; i++)
+		while ((sub = queue_pop(gather, target, (mc_class_t)i)))
+			sub_query_refuse(gather, sub, reason);
 }
 
 static mc_limit_outcome_t outcome_of(mc_err_t err)
@@ -269,24 +249,15 @@
 	mc_count(counters, MC_COUNTER_TARGET_QUERIES, batch->count);
 }
 
-/* Takes the next sub-query that is still worth sending. */
+/* Takes the next sub-query if the limiter lets it go. */
 static sub_query_t *next_to_send(gather_t *gather, target_t *target)
 {
-	mc_ms_t now = mc_shard_now(gather->shard);
-	sub_query_t *sub;
+	const sub_query_t *sub = queue_head(gather, target);
 
-	while (target->waiting) {
-		sub = mc_table_get(gather->sub_queries, target->first);
-		if (sub && !sub->canceled && sub->deadline > now) {
-			if (!mc_limiter_take(target->limiter, now))
-				return NULL;
-			return pop(gather, target);
-		}
-		sub = pop(gather, target);
-		if (sub)
-			refuse(gather, sub, MC_ERR_DEADLINE_PAST);
-	}
-	return NULL;
+	if (!sub ||
+	    !mc_limiter_take(target->limiter, mc_shard_now(gather->shard)))
+		return NULL;
+	return queue_pop(gather, target, sub->klass);
 }
 
 /* Sends one request with what may be sent now. Returns false for nothing. */
@@ -324,18 +295,15 @@
 	dispatch_plan(target->gather, target);
 }
 
-/* What still waits is looked at again when its oldest would be late. */
+/* What still waits is looked at again when it has waited long enough. */
 static void plan_expiry(gather_t *gather, target_t *target)
 {
-	const sub_query_t *sub;
+	mc_ms_t next = queue_next_expiry(gather, target);
 
 	mc_timer_cancel(gather->shard, target->expiry_timer);
 	target->expiry_timer = MC_HANDLE_NONE;
-	if (!target->waiting)
-		return;
-	sub = mc_table_get(gather->sub_queries, target->first);
-	if (sub)
-		mc_timer_set(gather->shard, sub->deadline, expire, target,
+	if (next != MC_MS_NEVER)
+		mc_timer_set(gather->shard, next, expire, target,
 			     &target->expiry_timer);
 }
 
@@ -351,8 +319,10 @@
 		sent = flush_once(gather, target);
 		target = mc_table_get(gather->targets, handle);
 	}
-	if (target)
-		plan_expiry(gather, target);
+	if (!target)
+		return;
+	queue_expire(gather, target);
+	plan_expiry(gather, target);
 }
 
 static void flush_all(mc_shard_t *shard, void *arg)
@@ -381,18 +351,37 @@
 	gather->dirty[gather->dirty_count++] = target->handle;
 }
 
-void dispatch_add(gather_t *gather, sub_query_t *sub, target_t *target)
+/* Makes room for @sub among what waits; false if there is none. */
+static bool make_room(gather_t *gather, target_t *target,
+		      const sub_query_t *sub)
 {
 	mc_ms_t now = mc_shard_now(gather->shard);
 	uint32_t share = mc_limiter_share(target->limiter, now);
+	sub_query_t *other;
+
+	if (!share)
+		return false;
+	if (target->waiting < WAITING_MIN + share * WAITING_PER_SLOT)
+		return true;
+	other = queue_pop_below(gather, target, sub->klass);
+	if (!other)
+		return false;
+	sub_query_refuse(gather, other, MC_ERR_TARGET_LIMITED);
+	return true;
+}
+
+void dispatch_add(gather_t *gather, sub_query_t *sub, target_t *target)
+{
+	mc_ms_t now = mc_shard_now(gather->shard);
+	mc_ms_t wait = (sub->deadline - now) / WAIT_PART;
 
-	if (!share ||
-	    target->waiting >= WAITING_MIN + share * WAITING_PER_SLOT) {
+	sub->wait_until = now + (wait > WAIT_MIN_MS ? wait : WAIT_MIN_MS);
+	if (!make_room(gather, target, sub)) {
 		mc_count(mc_shard_counters(gather->shard), MC_COUNTER_LIMITED,
 			 1);
-		refuse(gather, sub, MC_ERR_TARGET_LIMITED);
+		sub_query_refuse(gather, sub, MC_ERR_TARGET_LIMITED);
 		return;
 	}
-	push(gather, target, sub);
+	queue_push(gather, target, sub);
 	dispatch_plan(gather, target);
 }
--- a/src/gather/gather_private.h
+++ b/src/gather/gather_private.h
@@ -37,6 +37,13 @@
 	mc_wire_message_t *message;
 } shared_t;
 
+/* Sub-queries of one class, oldest first. */
+typedef struct {
+	mc_handle_t first;
+	mc_handle_t last;
+	uint32_t count;
+} queue_t;
+
 typedef struct {
 	gather_t *gather;
 	mc_handle_t handle;
@@ -49,9 +56,8 @@
 	bool reported;
 	uint32_t failures;
 	mc_limiter_t *limiter;
-	/* Sub-queries that wait for the limiter, oldest first. */
-	mc_handle_t first;
-	mc_handle_t last;
+	/* Sub-queries that wait for the limiter, by class. */
+	queue_t queues[MC_CLASS_COUNT];
 	uint32_t waiting;
 	bool flush_pending;
 	mc_handle_t expiry_timer;
@@ -73,8 +79,11 @@
 	shared_t *shared;
 	mc_handle_t target;
 	uint32_t shard;
+	mc_class_t klass;
 	mc_ms_t deadline;
-	/* Next one that waits for the same target. */
+	/* It is refused if it still waits then, so that others may try it. */
+	mc_ms_t wait_until;
+	/* Next one that waits for the same target in the same class. */
 	mc_handle_t next;
 	bool sent;
 	/* Its result is not wanted; it keeps its place until it ends. */
@@ -148,8 +157,23 @@
 void dispatch_plan(gather_t *gather, target_t *target);
 /* Refuses all that waits for a target. */
 void dispatch_refuse(gather_t *gather, target_t *target, mc_err_t reason);
+void sub_query_refuse(gather_t *gather, sub_query_t *sub, mc_err_t reason);
 void sub_query_remove(gather_t *gather, sub_query_t *sub);
 
+/* queue.c: what waits for a target; the most urgent class goes first. */
+void queue_push(gather_t *gather, target_t *target, sub_query_t *sub);
+/* The next one to be sent; NULL if none waits. What is late is refused. */
+sub_query_t *queue_head(gather_t *gather, target_t *target);
+/* Takes the oldest one of a class; NULL if none waits. */
+sub_query_t *queue_pop(gather_t *gather, target_t *target, mc_class_t klass);
+/* Takes one that is less urgent than @klass; NULL if there is none. */
+sub_query_t *queue_pop_below(gather_t *gather, target_t *target,
+			     mc_class_t klass);
+/* Refuses what has waited long enough. */
+void queue_expire(gather_t *gather, target_t *target);
+/* When the next one has waited long enough; MC_MS_NEVER if none waits. */
+mc_ms_t queue_next_expiry(const gather_t *gather, const target_t *target);
+
 /* target_http.c: the encoding of requests to targets. */
 char *target_http_search(gather_t *gather, const mc_handle_t *subs,
 			 uint32_t count);
--- a/src/gather/intake.c
+++ b/src/gather/intake.c
@@ -85,6 +85,7 @@
 	sub->shared = shared_ref(part->shared);
 	sub->target = target->handle;
 	sub->shard = from->shard;
+	sub->klass = (mc_class_t)query->klass;
 	sub->deadline = mc_shard_now(gather->shard) + query->time_left;
 	apr_hash_set(gather->sub_queries_by_key, &sub->key, sizeof(sub->key),
 		     sub);
--- a/src/limit/admission.c
+++ b/src/limit/admission.c
@@ -17,12 +17,14 @@
 	/* Bounds of the time after which a refused caller tries again, ms. */
 	RETRY_MIN_MS = 50,
 	RETRY_MAX_MS = 5000,
+	/* Concurrency at the start; it doubles until the first overload. */
+	START_CONCURRENCY = 32,
 };
 
 /* Quantile of a class's latencies that a request must have time for. */
 static const double needed_quantile = 0.5;
 /* What remains of the concurrency after an overload. */
-static const double shrink_factor = 0.9;
+static const double shrink_factor = 0.8;
 /* A concurrency that is used to this extent may grow. */
 static const double used_fraction = 0.5;
 
@@ -133,7 +135,11 @@
 	if (admission->params.min_concurrency > admission->params.concurrency)
 		admission->params.min_concurrency =
 			admission->params.concurrency;
-	admission->concurrency = admission->params.concurrency;
+	admission->concurrency = START_CONCURRENCY;
+	if (admission->concurrency < admission->params.min_concurrency)
+		admission->concurrency = admission->params.min_concurrency;
+	if (admission->concurrency > admission->params.concurrency)
+		admission->concurrency = admission->params.concurrency;
 	admission->shrunk = INT64_MIN;
 	return admission;
 }
@@ -189,11 +195,12 @@
 static void grow(mc_admission_t *admission)
 {
 	double most = admission->params.concurrency;
+	bool doubling = admission->shrunk == INT64_MIN;
 
 	if (in_up_to(admission, MC_CLASS_REPORT) <
 	    admission->concurrency * used_fraction)
 		return;
-	admission->concurrency += 1 / admission->concurrency;
+	admission->concurrency += doubling ? 1 : 1 / admission->concurrency;
 	if (admission->concurrency > most)
 		admission->concurrency = most;
 }
--- a/src/retry/hedge.c
+++ b/src/retry/hedge.c
@@ -13,20 +13,32 @@
 	DELAY_MIN_MS = 2,
 };
 
-static mc_ms_t delay_p95(const mc_quantile_t *p95, mc_ms_t time_left)
+/* A shard that takes longer than this many times its service's is slow. */
+static const double service_factor = 2;
+
+static mc_ms_t delay_p95(const mc_quantile_t *shard,
+			 const mc_quantile_t *service, mc_ms_t time_left)
 {
-	mc_ms_t delay = (mc_ms_t)ceil(p95->value);
+	double value = HUGE_VAL;
+	mc_ms_t delay;
 
-	if (p95->samples < SAMPLES_MIN)
+	if (shard->samples >= SAMPLES_MIN)
+		value = shard->value;
+	if (service->samples >= SAMPLES_MIN)
+		value = fmin(value, service->value * service_factor);
+	if (value >= (double)time_left)
 		return MC_MS_NEVER;
+	delay = (mc_ms_t)ceil(value);
 	if (delay < DELAY_MIN_MS)
 		delay = DELAY_MIN_MS;
 	return delay < time_left ? delay : MC_MS_NEVER;
 }
 
-static mc_ms_t delay_none(const mc_quantile_t *p95, mc_ms_t time_left)
+static mc_ms_t delay_none(const mc_quantile_t *shard,
+			  const mc_quantile_t *service, mc_ms_t time_left)
 {
-	(void)p95;
+	(void)shard;
+	(void)service;
 	(void)time_left;
 	return MC_MS_NEVER;
 }
--- a/src/retry/include/mc/retry.h
+++ b/src/retry/include/mc/retry.h
@@ -56,14 +56,18 @@
  */
 const mc_hedge_policy_t *mc_hedge_policy(const char *name);
 
-/** struct mc_hedge_policy_t - when a straggler gets a second sub-query */
+/**
+ * struct mc_hedge_policy_t - when a straggler gets a second sub-query
+ * @name: name in settings
+ * @delay: delay after the first sub-query at which to hedge, ms; MC_MS_NEVER
+ *	for not at all. @shard: 95th percentile of the shard; @service: of all
+ *	shards of its service, so that a shard whose target is always slow is a
+ *	straggler too; @time_left: until the deadline, ms
+ */
 struct mc_hedge_policy_t {
 	const char *name;
-	/*
-	 * Delay after the first sub-query at which to hedge, ms;
-	 * MC_MS_NEVER for not at all. @time_left: until the deadline, ms.
-	 */
-	mc_ms_t (*delay)(const mc_quantile_t *p95, mc_ms_t time_left);
+	mc_ms_t (*delay)(const mc_quantile_t *shard,
+			 const mc_quantile_t *service, mc_ms_t time_left);
 };
 
 /**
--- a/src/route/choose.c
+++ b/src/route/choose.c
@@ -17,15 +17,21 @@
 /*
  * A replica's rank; the lowest goes first. Bits in the order of their weight:
  * it failed lately, it has not the version that the request shall use, it is
- * in another data centre.
+ * at its limit, it is far slower than another, it is in another data centre.
  */
 enum {
 	RANK_REMOTE = 1 << 0,
-	RANK_OTHER_VERSION = 1 << 1,
-	RANK_FAILED = 1 << 2,
-	RANK_NONE = 1 << 3,
+	RANK_SLOW = 1 << 1,
+	RANK_BUSY = 1 << 2,
+	RANK_OTHER_VERSION = 1 << 3,
+	RANK_FAILED = 1 << 4,
+	RANK_NONE = 1 << 5,
 };
 
+/* Slow is what takes so many times the fastest replica's time, and this. */
+static const double SLOW_FACTOR = 2;
+static const double SLOW_MARGIN_MS = 5;
+
 /* Whether the request shall use the new version of its service's move. */
 static bool wants_new_version(const mc_router_t *router,
 			      const mc_route_query_t *query)
@@ -71,10 +77,34 @@
 	return !query->serves || query->serves(query->serves_ctx, target);
 }
 
+/* The least latency that is known of a replica that may be used. */
+static double fastest(const mc_router_t *router, const mc_route_query_t *query,
+		      const mc_row_t *targets, uint32_t count)
+{
+	double least = 0;
+	uint32_t i;
+
+	for (i = 0; i < count; i++) {
+		double latency = router->targets[targets[i]].latency;
+
+		if (latency > 0 && (least <= 0 || latency < least) &&
+		    may_use(router, query, targets[i]))
+			least = latency;
+	}
+	return least;
+}
+
+static bool is_slow(const mc_target_record_t *record, double least)
+{
+	return least > 0 &&
+	       record->latency > least * SLOW_FACTOR + SLOW_MARGIN_MS;
+}
+
 static uint32_t rank_target(const mc_router_t *router,
 			    const mc_route_query_t *query, bool wants_new,
-			    mc_row_t target)
+			    mc_row_t target, double least)
 {
+	const mc_target_record_t *record = &router->targets[target];
 	uint32_t rank;
 
 	if (!may_use(router, query, target))
@@ -82,8 +112,12 @@
 	rank = rank_version(router->targets[target].version, wants_new);
 	if (rank == RANK_NONE)
 		return RANK_NONE;
-	if (query->now < router->targets[target].failed_until)
+	if (query->now < record->failed_until)
 		rank |= RANK_FAILED;
+	if (query->now < record->busy_until)
+		rank |= RANK_BUSY;
+	if (is_slow(record, least))
+		rank |= RANK_SLOW;
 	if (router->config->targets[target].data_center != router->data_center)
 		rank |= RANK_REMOTE;
 	return rank;
@@ -105,20 +139,30 @@
 	};
 }
 
+static void fade(mc_target_record_t *record)
+{
+	if (record->latency > MC_ROUTE_LATENCY_MIN)
+		record->latency *= LATENCY_KEPT;
+}
+
 /* Fills router->candidates with the replicas of the best rank. */
 static uint32_t select_candidates(mc_router_t *router,
 				  const mc_route_query_t *query,
 				  const mc_row_t *targets, uint32_t count)
 {
 	bool wants_new = wants_new_version(router, query);
+	double least = fastest(router, query, targets, count);
 	uint32_t best = RANK_NONE;
 	uint32_t found = 0;
 	uint32_t i;
 
 	for (i = 0; i < count; i++) {
-		uint32_t rank =
-			rank_target(router, query, wants_new, targets[i]);
+		uint32_t rank = rank_target(router, query, wants_new,
+					    targets[i], least);
 
+		/* What is passed over as slow is so tried again later. */
+		if (rank & RANK_SLOW && rank != RANK_NONE)
+			fade(&router->targets[targets[i]]);
 		if (rank == RANK_NONE || rank > best)
 			continue;
 		if (rank < best)
@@ -130,20 +174,16 @@
 	return found;
 }
 
-/* Notes the choice, and lets the latencies of the others fade. */
+/* Notes the choice, and lets the latencies of the other candidates fade. */
 static mc_row_t take_candidate(mc_router_t *router, uint32_t count,
 			       uint32_t chosen)
 {
 	mc_row_t target = router->candidates[chosen].target;
 	uint32_t i;
 
-	for (i = 0; i < count; i++) {
-		mc_target_record_t *record =
-			&router->targets[router->candidates[i].target];
-
-		if (i != chosen && record->latency > MC_ROUTE_LATENCY_MIN)
-			record->latency *= LATENCY_KEPT;
-	}
+	for (i = 0; i < count; i++)
+		if (i != chosen)
+			fade(&router->targets[router->candidates[i].target]);
 	router->targets[target].turn = ++router->turn;
 	return target;
 }
--- a/src/route/include/mc/route.h
+++ b/src/route/include/mc/route.h
@@ -43,6 +43,8 @@
 	MC_ROUTE_OWNERS_MAX = 64,
 	/* Time for which a target that failed is avoided. */
 	MC_ROUTE_AVOID_MS = 1000,
+	/* Time for which a target at its limit is passed over for others. */
+	MC_ROUTE_BUSY_MS = 100,
 };
 
 /**
@@ -136,6 +138,7 @@
 	MC_TARGET_READY,
 	MC_TARGET_DRAINING,
 	MC_TARGET_FAILED,
+	MC_TARGET_BUSY,
 } mc_target_state_t;
 
 /**
@@ -143,7 +146,8 @@
  * @router: the router
  * @target: row of the target
  * @state: DRAINING holds until READY; FAILED holds for MC_ROUTE_AVOID_MS,
- *	whatever is said meanwhile, unless no other replica is left
+ *	whatever is said meanwhile, unless no other replica is left; BUSY lets
+ *	others go first for MC_ROUTE_BUSY_MS
  * @now: ms
  */
 void mc_router_target_state(mc_router_t *router, mc_row_t target,
@@ -197,7 +201,8 @@
  * @random: the shard's random state
  * @choice: receives the choice
  *
- * Prefers replicas in the own data centre while they are usable. Among a
+ * Prefers replicas in the own data centre while they are usable, not busy and
+ * not far slower than the fastest one. Among a
  * target's usable owners it prefers a gather that this request uses already
  * (see mc_router_begin()), then the one with the fewest sub-queries out, then
  * one at random.
@@ -225,9 +230,18 @@
  * mc_router_done() - a sub-query of @choice ended
  * @router: the router
  * @choice: as in mc_router_sent()
- * @latency: ms; negative when it was canceled or gave no answer
+ * @latency: ms; negative when it gave no answer
  */
 void mc_router_done(mc_router_t *router, mc_route_choice_t choice,
 		    mc_ms_t latency);
 
+/**
+ * mc_router_canceled() - a sub-query of @choice is not awaited any more
+ * @router: the router
+ * @choice: as in mc_router_sent()
+ * @elapsed: ms since it was sent: its target takes at least so long
+ */
+void mc_router_canceled(mc_router_t *router, mc_route_choice_t choice,
+			mc_ms_t elapsed);
+
 #endif
--- a/src/route/router.h
+++ b/src/route/router.h
@@ -24,6 +24,7 @@
  * @latency: smoothed latency, ms; 0 when unknown
  * @turn: number of the choice that chose it last
  * @failed_until: until when it is avoided, ms
+ * @busy_until: until when others go first, ms
  * @draining: it gets no new work
  * @version: place in its service's version move
  * @owner_count: number of its owners
@@ -33,6 +34,7 @@
 	double latency;
 	uint64_t turn;
 	mc_ms_t failed_until;
+	mc_ms_t busy_until;
 	bool draining;
 	mc_version_class_t version;
 	uint32_t owner_count;
--- a/src/route/state.c
+++ b/src/route/state.c
@@ -56,6 +56,9 @@
 	case MC_TARGET_FAILED:
 		record->failed_until = now + MC_ROUTE_AVOID_MS;
 		break;
+	case MC_TARGET_BUSY:
+		record->busy_until = now + MC_ROUTE_BUSY_MS;
+		break;
 	}
 }
 
@@ -126,3 +129,12 @@
 	if (latency >= 0)
 		add_latency(&router->targets[choice.target], latency);
 }
+
+void mc_router_canceled(mc_router_t *router, mc_route_choice_t choice,
+			mc_ms_t elapsed)
+{
+	bool slower = choice.target < router->config->target_count &&
+		      (double)elapsed > router->targets[choice.target].latency;
+
+	mc_router_done(router, choice, slower ? elapsed : -1);
+}
--- a/src/settings/include/mc/settings.h
+++ b/src/settings/include/mc/settings.h
@@ -22,7 +22,7 @@
  *	hedge = "p95" | "none"
  *	retry = "budget" | "none" | "unbounded"
  *	admission = "class" | "none"
- *	extra_percent = 5                 # hedges, and retries, per 100
+ *	extra_percent = 5                 # hedges and retries per 100
  *	concurrency = 1024                # requests at a time in one front
  *
  * A process reads the tables of its own role; both roles may stand in a file.
--- a/src/wire/include/mc/wire.h
+++ b/src/wire/include/mc/wire.h
@@ -20,6 +20,8 @@
 	MC_WIRE_REPORTS_MAX = 4096,
 	MC_WIRE_STRING_MAX = 1 << 20,
 	MC_WIRE_ID_SIZE = 128,
+	/* Classes of requests, the most urgent is 0. */
+	MC_WIRE_CLASSES = 3,
 };
 
 /** enum mc_wire_kind_t - kinds of messages */
@@ -71,6 +73,7 @@
  * @snapshot: pinned snapshot id
  * @query: the caller's query as JSON text
  * @limit: most hits of a shard
+ * @klass: class of the request, below MC_WIRE_CLASSES
  * @time_left: until the deadline, less what travel takes, ms
  * @sub_query_count: number of sub-queries
  * @sub_queries: the sub-queries
@@ -81,6 +84,7 @@
 	const char *snapshot;
 	const char *query;
 	uint32_t limit;
+	uint32_t klass;
 	mc_ms_t time_left;
 	uint32_t sub_query_count;
 	mc_wire_sub_query_t *sub_queries;
--- a/src/wire/query_codec.c
+++ b/src/wire/query_codec.c
@@ -4,7 +4,7 @@
 #include "codec.h"
 
 enum {
-	QUERY_FIELDS = 7,
+	QUERY_FIELDS = 8,
 	SUB_QUERY_FIELDS = 4,
 	RESULTS_FIELDS = 1,
 	RESULT_FIELDS = 5,
@@ -42,6 +42,7 @@
 	mc_write_string(writer, query->snapshot);
 	mc_write_string(writer, query->query);
 	mc_write_u64(writer, query->limit);
+	mc_write_u64(writer, query->klass);
 	mc_write_ms(writer, query->time_left);
 	mc_write_array(writer, query->sub_query_count);
 	for (i = 0; i < query->sub_query_count; i++)
@@ -59,6 +60,7 @@
 	query->snapshot = mc_read_string(reader, MC_WIRE_ID_SIZE);
 	query->query = mc_read_string(reader, MC_WIRE_STRING_MAX + 1);
 	query->limit = mc_read_u32(reader, UINT32_MAX);
+	query->klass = mc_read_u32(reader, MC_WIRE_CLASSES - 1);
 	query->time_left = mc_read_ms(reader);
 	query->sub_query_count =
 		mc_read_list(reader, MC_WIRE_SUB_QUERIES_MAX,
--- a/tests/fuzz/route_fuzz.c
+++ b/tests/fuzz/route_fuzz.c
@@ -30,6 +30,9 @@
 typedef struct {
 	bool draining;
 	mc_ms_t failed_until;
+	mc_ms_t busy_until;
+	/* The longest that it took; it can't seem slower than that. */
+	mc_ms_t slowest;
 } target_t;
 
 typedef enum {
@@ -261,12 +264,14 @@
 static void change_target(model_t *model, fuzz_input_t *input)
 {
 	mc_row_t row = pick_target(model->config, input);
-	mc_target_state_t state = (mc_target_state_t)fuzz_below(input, 3);
+	mc_target_state_t state = (mc_target_state_t)fuzz_below(input, 4);
 	target_t *target = &model->targets[address_of(model->config, row)];
 
 	mc_router_target_state(model->router, row, state, model->now);
 	if (state == MC_TARGET_FAILED)
 		target->failed_until = model->now + MC_ROUTE_AVOID_MS;
+	else if (state == MC_TARGET_BUSY)
+		target->busy_until = model->now + MC_ROUTE_BUSY_MS;
 	else
 		target->draining = state == MC_TARGET_DRAINING;
 }
@@ -336,6 +341,19 @@
 					.service];
 }
 
+/*
+ * Whether another replica may go first: the target is at its limit, or took
+ * more than the 5 ms above which it may count as slow.
+ */
+static bool yields(const question_t *question, mc_row_t target)
+{
+	const model_t *model = question->model;
+	const target_t *known =
+		&model->targets[address_of(model->config, target)];
+
+	return question->query.now < known->busy_until || known->slowest > 5;
+}
+
 /* Whether there is a target that may be used, of @version if that is set. */
 static bool exists(question_t *question, const char *version, bool with_failed)
 {
@@ -393,6 +411,7 @@
 				   !may_use(question, i) ||
 				   (version &&
 				    strcmp(targets[i].version, version)) ||
+				   yields(question, i) ||
 				   has_failed(question, i) !=
 					   has_failed(question, target),
 			   "the own data centre goes first");
@@ -502,13 +521,19 @@
 
 static void finish(model_t *model, fuzz_input_t *input)
 {
+	mc_ms_t latency = fuzz_below(input, 4)
+				  ? (mc_ms_t)fuzz_below(input, 6) - 1
+				  : (mc_ms_t)fuzz_below(input, 64);
 	mc_route_choice_t choice;
+	target_t *target;
 
 	if (!model->open_count)
 		return;
 	choice = model->open[--model->open_count];
-	mc_router_done(model->router, choice,
-		       (mc_ms_t)fuzz_below(input, 64) - 1);
+	target = &model->targets[address_of(model->config, choice.target)];
+	if (latency > target->slowest)
+		target->slowest = latency;
+	mc_router_done(model->router, choice, latency);
 	model->gathers[choice.gather].in_flight--;
 }
 
--- a/tests/fuzz/wire_fuzz.c
+++ b/tests/fuzz/wire_fuzz.c
@@ -23,7 +23,7 @@
  */
 static const char *const shapes[] = {
 	[MC_WIRE_HELLO] = "ksb",
-	[MC_WIRE_QUERY] = "sssskt*(nnkb)",
+	[MC_WIRE_QUERY] = "sssskkt*(nnkb)",
 	[MC_WIRE_RESULT] = "*(nkst*(sd))",
 	[MC_WIRE_CANCEL] = "*n",
 	[MC_WIRE_REPORT] = "*(nbbb*s)",
--- a/tests/unit/retry_test.c
+++ b/tests/unit/retry_test.c
@@ -55,16 +55,24 @@
 static void test_hedge(void **state)
 {
 	mc_quantile_t p95 = { .value = 11.5, .samples = 100 };
+	mc_quantile_t service = { .value = 20, .samples = 1 };
 	const mc_hedge_policy_t *policy = mc_hedge_policy("p95");
 
 	(void)state;
-	assert_int_equal(policy->delay(&p95, 100), 12);
-	assert_true(policy->delay(&p95, 12) == MC_MS_NEVER);
+	assert_int_equal(policy->delay(&p95, &service, 100), 12);
+	assert_true(policy->delay(&p95, &service, 12) == MC_MS_NEVER);
+	service.samples = 100;
+	service.value = 4;
+	assert_int_equal(policy->delay(&p95, &service, 100), 8);
+	service.value = 20;
+	assert_int_equal(policy->delay(&p95, &service, 100), 12);
 	p95.samples = 1;
-	assert_true(policy->delay(&p95, 100) == MC_MS_NEVER);
+	assert_int_equal(policy->delay(&p95, &service, 100), 40);
+	service.samples = 1;
+	assert_true(policy->delay(&p95, &service, 100) == MC_MS_NEVER);
 	policy = mc_hedge_policy("none");
 	p95.samples = 100;
-	assert_true(policy->delay(&p95, 100) == MC_MS_NEVER);
+	assert_true(policy->delay(&p95, &service, 100) == MC_MS_NEVER);
 	assert_null(mc_hedge_policy("p99"));
 }
 
--- a/tests/unit/route_test.c
+++ b/tests/unit/route_test.c
@@ -356,6 +356,54 @@
 	mc_config_unref(config);
 }
 
+/* A local replica that is far slower than a remote one goes after it. */
+static void test_slow_local_goes_last(void **state)
+{
+	const mc_config_t *config = square_config("in");
+	mc_router_t *router = make_router(config, "two_choices", NULL);
+	mc_route_query_t query = { .shard = 1 };
+	mc_route_choice_t choice;
+	uint32_t i, local = 0;
+
+	(void)state;
+	for (i = 0; i < config->target_count; i++)
+		mc_router_done(router, (mc_route_choice_t){ .target = i },
+			       config->targets[i].data_center ? 8 : 160);
+	for (i = 0; i < 400; i++) {
+		assert_int_equal(choose(router, &query, &choice), MC_OK);
+		mc_router_sent(router, choice);
+		local += !config->targets[choice.target].data_center;
+		mc_router_done(
+			router, choice,
+			config->targets[choice.target].data_center ? 8 : 160);
+	}
+	assert_int_equal(local, 0);
+	mc_router_destroy(router);
+	mc_config_unref(config);
+}
+
+/* A replica at its limit lets others go first, for a short time. */
+static void test_busy_goes_last(void **state)
+{
+	const mc_config_t *config = square_config("in");
+	mc_router_t *router = make_router(config, "two_choices", NULL);
+	mc_route_query_t query = { .shard = 1 };
+	mc_route_choice_t choice;
+	mc_row_t i;
+
+	(void)state;
+	for (i = 0; i < config->target_count; i++)
+		if (!config->targets[i].data_center)
+			mc_router_target_state(router, i, MC_TARGET_BUSY, 0);
+	assert_int_equal(choose(router, &query, &choice), MC_OK);
+	assert_int_equal(config->targets[choice.target].data_center, 1);
+	query.now = MC_ROUTE_BUSY_MS;
+	assert_int_equal(choose(router, &query, &choice), MC_OK);
+	assert_int_equal(config->targets[choice.target].data_center, 0);
+	mc_router_destroy(router);
+	mc_config_unref(config);
+}
+
 /* A slow replica gets little, yet is tried again once it may be fast. */
 static void test_two_choices_by_latency(void **state)
 {
@@ -421,6 +469,8 @@
 		cmocka_unit_test(test_version_falls_back_to_old_only),
 		cmocka_unit_test(test_round_robin_after_return),
 		cmocka_unit_test(test_hash_moves_only_what_it_must),
+		cmocka_unit_test(test_slow_local_goes_last),
+		cmocka_unit_test(test_busy_goes_last),
 		cmocka_unit_test(test_two_choices_by_latency),
 		cmocka_unit_test(test_two_choices_by_in_flight),
 		cmocka_unit_test(test_policy_names),
