Cut no request at a front's stop; retry across a new configuration

Cause: a stopped front counted a request as ended once its answer was made, not when it was sent; connections that waited to be accepted, or whose request had not arrived, were reset; and its socket went on listening until the process ended, so that callers still connected in vain. And a search that began before a change of the configuration got no hedge and no retry after it, as its rows were of the old configuration.

Ruled out: a longer notice before the stop (the callers of the test do not look at /v1/ready and connect until they are refused).

--- a/src/front/evidence.c
+++ b/src/front/evidence.c
@@ -38,8 +38,12 @@
 void evidence_add(front_t *front, const mc_view_t *view, mc_row_t target,
 		  uint32_t route, mc_err_t err, mc_ms_t latency)
 {
-	mc_row_t service = view->config->targets[target].service;
+	mc_row_t service;
 
+	/* The configuration does not have the target any more. */
+	if (target == MC_ROW_NONE)
+		return;
+	service = view->config->targets[target].service;
 	if (!has_move(view, service) || (err && !is_targets_fault(err)))
 		return;
 	if (front->evidence_count == FRONT_EVIDENCE_MAX ||
--- a/src/front/front.c
+++ b/src/front/front.c
@@ -10,6 +10,8 @@
 	EXTRAS_BURST = 20,
 	ADMISSION_MIN = 8,
 	CLAIM_TIMEOUT_MS = 1000,
+	/* A connection's request arrives within this time. */
+	LINGER_MS = 200,
 };
 
 static void front_destroy(void *state)
@@ -227,18 +229,29 @@
 	front->draining = true;
 }
 
+static void end_linger(mc_shard_t *shard, void *arg)
+{
+	front_t *front = arg;
+
+	(void)shard;
+	front->lingered = true;
+}
+
 static void front_close(void *state)
 {
 	front_t *front = state;
+	mc_handle_t timer;
 
 	mc_http_serve_stop(front->shard);
+	mc_timer_set(front->shard, mc_shard_now(front->shard) + LINGER_MS,
+		     end_linger, front, &timer);
 }
 
 static bool front_idle(void *state)
 {
 	const front_t *front = state;
 
-	return !mc_http_exchanges(front->shard);
+	return front->lingered && !mc_http_exchanges(front->shard);
 }
 
 const mc_role_ops_t *mc_front_ops(void)
--- a/src/front/front_private.h
+++ b/src/front/front_private.h
@@ -124,6 +124,8 @@
 	/* When the first configuration came; 0 before that. */
 	mc_ms_t configured_at;
 	bool draining;
+	/* Requests on connections that were just made have arrived. */
+	bool lingered;
 	uint64_t next_request;
 	uint64_t own_key;
 	mc_router_t *router;
@@ -229,6 +231,12 @@
 void plan_cancel(front_t *front, query_t *query);
 void sub_query_end(front_t *front, sub_query_t *sub, mc_ms_t latency);
 
+/*
+ * rebase.c: makes the rows of a search those of the front's configuration.
+ * Returns whether they are.
+ */
+bool query_rebase(front_t *front, query_t *query);
+
 /* hedge.c */
 void hedge_set(front_t *front, query_t *query, uint32_t slot);
 void hedge_plan(front_t *front, query_t *query);
--- a/src/front/plan.c
+++ b/src/front/plan.c
@@ -315,8 +315,9 @@
 	const sub_query_t *sub;
 	mc_err_t err;
 
-	if (front_admits(front) || query->view->config != front->view->config ||
-	    query->slots[slot].tries == FRONT_TRIES_MAX)
+	if (front_admits(front) ||
+	    query->slots[slot].tries == FRONT_TRIES_MAX ||
+	    !query_rebase(front, query))
 		return false;
 	sub = add_sub_query(front, query, slot, hedge);
 	if (!sub)
--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -7,6 +7,7 @@
 
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 enum {
@@ -173,7 +174,6 @@
 	};
 
 	exchange->called = true;
-	server->open++;
 	server->handler(server->ctx, &call);
 	if (exchange->response)
 		return send_response(exchange);
@@ -216,8 +216,6 @@
 	(void)code;
 	if (!exchange)
 		return;
-	if (exchange->called && !exchange->response)
-		shard->server.open--;
 	if (exchange->response)
 		MHD_destroy_response(exchange->response);
 	free(exchange->body);
@@ -269,14 +267,19 @@
 	if (!server->daemon)
 		return;
 	server->stopping = true;
+	/* Connections that wait to be accepted would be reset. */
+	MHD_run(server->daemon);
 	fd = MHD_quiesce_daemon(server->daemon);
-	if (fd >= 0)
-		close(fd);
+	if (fd < 0)
+		return;
+	/* The socket listens for as long as any copy of it is open. */
+	shutdown(fd, SHUT_RDWR);
+	close(fd);
 }
 
 uint32_t mc_http_exchanges(const mc_shard_t *shard)
 {
-	return shard->server.open;
+	return mc_table_count(shard->server.exchanges);
 }
 
 mc_err_t mc_http_reply(mc_shard_t *shard, mc_handle_t handle, int status,
@@ -294,7 +297,6 @@
 		MHD_add_response_header(exchange->response, "Connection",
 					"close");
 	exchange->status = status;
-	server->open--;
 	if (!exchange->suspended)
 		return MC_OK;
 	exchange->suspended = false;
--- a/src/net/include/mc/net/http.h
+++ b/src/net/include/mc/net/http.h
@@ -131,10 +131,10 @@
 mc_err_t mc_http_serve(mc_shard_t *shard, int fd, mc_http_handler_t handler,
 		       void *ctx);
 
-/** mc_http_serve_stop() - accept no more; open exchanges go on */
+/** mc_http_serve_stop() - listen no more, on any shard; exchanges go on */
 void mc_http_serve_stop(mc_shard_t *shard);
 
-/** mc_http_exchanges() - requests that were not replied to yet */
+/** mc_http_exchanges() - requests whose answers were not wholly sent yet */
 uint32_t mc_http_exchanges(const mc_shard_t *shard);
 
 /**
--- a/src/net/net_private.h
+++ b/src/net/net_private.h
@@ -75,7 +75,6 @@
 	mc_table_t *exchanges;
 	mc_http_handler_t handler;
 	void *ctx;
-	uint32_t open;
 	bool run_pending;
 	/* Accepts no more; replies close their connections. */
 	bool stopping;
--- a/tests/system/cluster.c
+++ b/tests/system/cluster.c
@@ -43,6 +43,7 @@
 
 void cluster_destroy(cluster_t *cluster)
 {
+	cluster_load_drop(cluster);
 	harness_destroy(cluster->harness);
 	free(cluster);
 }
--- a/tests/system/cluster.h
+++ b/tests/system/cluster.h
@@ -81,6 +81,7 @@
  * @platform: process of the platform
  * @platform_address: its address
  * @config_version: version of the configuration that was put last
+ * @load: steady load that has begun and not ended; NULL for none
  */
 typedef struct cluster_t {
 	cluster_params_t params;
@@ -92,6 +93,7 @@
 	cluster_target_t targets[CLUSTER_TARGETS_MAX];
 	uint32_t instance_count;
 	cluster_instance_t instances[CLUSTER_INSTANCES_MAX];
+	struct cluster_load_state_t *load;
 } cluster_t;
 
 /** cluster_create() - nothing is started yet; NULL without memory */
@@ -224,6 +226,9 @@
 /** cluster_load_begin() - start the callers; the parameters are set */
 void cluster_load_begin(cluster_load_t *load);
 
+/** cluster_load_drop() - end the callers of a test that has failed */
+void cluster_load_drop(cluster_t *cluster);
+
 /** cluster_load_wait() - wait until so many more requests were answered */
 void cluster_load_wait(cluster_load_t *load, uint32_t count);
 
--- a/tests/system/cluster_load.c
+++ b/tests/system/cluster_load.c
@@ -31,6 +31,8 @@
 } caller_t;
 
 typedef struct cluster_load_state_t {
+	/* The counts, until the end; a test that fails leaves its own. */
+	cluster_load_t load;
 	pthread_mutex_t lock;
 	bool ending;
 	uint32_t answered;
@@ -129,10 +131,12 @@
 	assert_non_null(state);
 	assert_in_range(load->threads, 1, THREADS_MAX);
 	load->state = state;
+	load->cluster->load = state;
+	state->load = *load;
 	pthread_mutex_init(&state->lock, NULL);
 	for (i = 0; i < load->threads; i++) {
 		caller = &state->callers[i];
-		*caller = (caller_t){ .load = load, .index = i };
+		*caller = (caller_t){ .load = &state->load, .index = i };
 		assert_int_equal(pthread_create(&caller->thread, NULL,
 						run_caller, caller),
 				 0);
@@ -165,16 +169,41 @@
 	harness_wait("callers get answers", has_answered, &progress);
 }
 
-void cluster_load_end(cluster_load_t *load)
+static void stop_callers(state_t *state)
 {
-	state_t *state = load->state;
 	uint32_t i;
 
 	pthread_mutex_lock(&state->lock);
 	state->ending = true;
 	pthread_mutex_unlock(&state->lock);
-	for (i = 0; i < load->threads; i++)
+	for (i = 0; i < state->load.threads; i++)
 		pthread_join(state->callers[i].thread, NULL);
+	state->load.cluster->load = NULL;
+}
+
+static void free_state(state_t *state)
+{
+	pthread_mutex_destroy(&state->lock);
+	free(state);
+}
+
+void cluster_load_drop(cluster_t *cluster)
+{
+	state_t *state = cluster->load;
+
+	if (!state)
+		return;
+	stop_callers(state);
+	free_state(state);
+}
+
+void cluster_load_end(cluster_load_t *load)
+{
+	state_t *state = load->state;
+	uint32_t i;
+
+	stop_callers(state);
+	*load = state->load;
 	for (i = 0; i < state->noted; i++) {
 		const char *name = state->noted_names[i];
 		bool search = !strncmp(name, "request=", strlen("request="));
@@ -184,6 +213,5 @@
 			fail_msg("told as not run, but it ran: %s", name);
 	}
 	load->state = NULL;
-	pthread_mutex_destroy(&state->lock);
-	free(state);
+	free_state(state);
 }
