--- a/src/gather/gather_private.h
+++ b/src/gather/gather_private.h
@@ -17,6 +17,8 @@
 enum {
 	/* Most sub-queries of one HTTP request. */
 	GATHER_BATCH_MAX = 16,
+	/* Most hits that a sub-query may ask for. */
+	GATHER_HITS_MAX = 1 << 16,
 	GATHER_SUB_QUERIES_MAX = 1 << 18,
 	GATHER_TARGETS_MAX = 4096,
 	GATHER_START_ID_SIZE = 64,
--- a/src/gather/intake.c
+++ b/src/gather/intake.c
@@ -75,6 +75,8 @@
 	void *slot;
 	mc_err_t err = admit(gather, from->target, &target);
 
+	if (!err && query->limit > GATHER_HITS_MAX)
+		err = MC_ERR_BAD_REQUEST;
 	if (!err)
 		err = mc_table_add(gather->sub_queries, &handle, &slot);
 	if (err)
@@ -294,7 +296,9 @@
 	gather_t *gather = ctx;
 	uint32_t i;
 
-	(void)reason;
+	if (reason == MC_ERR_BAD_FRAME)
+		mc_log(gather->log, MC_LOG_WARNING, "gather",
+		       "link closed after a bad frame message=\"length\"");
 	for (i = 0; i < gather->front_count; i++) {
 		if (!mc_handle_equal(gather->fronts[i], link))
 			continue;
--- /dev/null
+++ b/tests/system/cold_test.c
@@ -0,0 +1,107 @@
+/*
+ * System test of a target that starts cold under steady load, by two gathers
+ * that own it.
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <cmocka.h>
+
+#include "cluster.h"
+
+enum {
+	THREADS = 16,
+	WARM_ANSWERS = 2000,
+	/* By then each gather has had an answer with the new start id. */
+	KNOWN_ANSWERS = 60,
+	ANSWERS = 100,
+	COLD_MS = 3000,
+};
+
+#define WARM "{\"delay_ms\":5,\"bears\":16,\"shed\":true}"
+#define COLD "{\"cold_ms\":3000,\"cold_bears\":4,\"restart\":true}"
+
+static void print_counts(const cluster_target_t *target, const char *when)
+{
+	print_message("%s: queries=%lld breaches=%lld cold_breaches=%lld "
+		      "most=%lld\n",
+		      when, (long long)cluster_counter(target, "queries"),
+		      (long long)cluster_counter(target, "breaches"),
+		      (long long)cluster_counter(target, "cold_breaches"),
+		      (long long)cluster_counter(target, "max_in_flight"));
+}
+
+static void begin(cluster_t *cluster, cluster_load_t *load, const char *body)
+{
+	cluster_start(cluster);
+	cluster_standin_all(cluster, body);
+	cluster_wait_complete(cluster);
+	cluster_load_begin(load);
+	cluster_load_wait(load, WARM_ANSWERS);
+}
+
+/*
+ * Once the new start id could be known, a cold target gets no more than it
+ * bears; what came before is printed.
+ */
+static void test_cold_start(void **state)
+{
+	cluster_t *cluster = *state;
+	const cluster_target_t *target = &cluster->targets[0];
+	cluster_load_t load = {
+		.cluster = cluster,
+		.fronts = 2,
+		.threads = THREADS,
+		.pause_ms = 2,
+	};
+	json_int_t known, later;
+	mc_ms_t start;
+
+	begin(cluster, &load, WARM);
+	print_counts(target, "warm");
+	cluster_standin(target, COLD);
+	start = mc_clock_now(mc_clock_system());
+	cluster_load_wait(&load, KNOWN_ANSWERS);
+	known = cluster_counter(target, "cold_breaches");
+	print_counts(target, "start id known");
+	while (mc_clock_now(mc_clock_system()) - start < COLD_MS)
+		cluster_load_wait(&load, ANSWERS);
+	print_counts(target, "cold");
+	later = cluster_counter(target, "cold_breaches");
+	cluster_load_end(&load);
+	assert_int_equal(later, known);
+}
+
+static int set_up(void **state)
+{
+	cluster_params_t params = {
+		.name = "cold",
+		.data_centers = 1,
+		.instances = 2,
+		.shards = 1,
+		.snapshots = 1,
+	};
+
+	*state = cluster_create(&params);
+	return *state ? 0 : -1;
+}
+
+static int tear_down(void **state)
+{
+	cluster_destroy(*state);
+	return 0;
+}
+
+#define COLD_TEST(test) cmocka_unit_test_setup_teardown(test, set_up, tear_down)
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		COLD_TEST(test_cold_start),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/system/hostile_test.c
@@ -0,0 +1,260 @@
+/*
+ * System tests of hostile input: bodies that are no requests at the callers'
+ * port, and bytes that are no frames at the peers' ports. Each is told so or
+ * cut off, and counted, and searches go on meanwhile.
+ */
+#include <arpa/inet.h>
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+#include <cmocka.h>
+
+#include "cluster.h"
+
+enum {
+	/* Above the size that a front takes. */
+	LARGE_BODY = (4 << 20) + 1,
+	HALF_FRAMES = 40,
+	LOG_SIZE = 1 << 20,
+	PATH_SIZE = 512,
+	WAIT_S = 30,
+};
+
+typedef struct bad_request_t {
+	const char *method;
+	const char *path;
+	const char *header;
+	const char *body;
+	int status;
+	const char *error;
+} bad_request_t;
+
+static void check_request(const cluster_instance_t *instance,
+			  const bad_request_t *bad)
+{
+	char url[2 * HARNESS_URL_SIZE];
+	harness_reply_t reply;
+
+	snprintf(url, sizeof(url), "%s%s", instance->url, bad->path);
+	reply = harness_http(&(harness_request_t){ .method = bad->method,
+						   .url = url,
+						   .headers = { bad->header },
+						   .body = bad->body });
+	assert_int_equal(reply.status, bad->status);
+	assert_string_equal(cluster_error(&reply), bad->error);
+	assert_true(cluster_not_run(&reply));
+	harness_reply_free(&reply);
+}
+
+/* A counter of the front. */
+static long metric(const cluster_instance_t *instance, const char *name)
+{
+	char url[2 * HARNESS_URL_SIZE], line[PATH_SIZE];
+	harness_reply_t reply;
+	const char *found;
+	long value;
+
+	snprintf(url, sizeof(url), "%s/v1/metrics", instance->url);
+	reply = harness_http(
+		&(harness_request_t){ .method = "GET", .url = url });
+	snprintf(line, sizeof(line), "\n%s ", name);
+	found = strstr(reply.body, line);
+	assert_non_null(found);
+	value = strtol(found + strlen(line), NULL, 10);
+	harness_reply_free(&reply);
+	return value;
+}
+
+static void test_bad_requests(void **state)
+{
+	static char large[LARGE_BODY + 1];
+	const bad_request_t list[] = {
+		{ "POST", "/v1/search", NULL, large, 413, "too_large" },
+		{ "POST", "/v1/run", NULL, large, 413, "too_large" },
+		{ "POST", "/v1/search", NULL, "{", 400, "bad_request" },
+		{ "POST", "/v1/search", NULL, "[]", 400, "bad_request" },
+		{ "POST", "/v1/search", NULL, "\xff\xfe{}", 400,
+		  "bad_request" },
+		{ "POST", "/v1/search", "Deadline-Ms: -x", "{}", 400,
+		  "bad_request" },
+		{ "POST", "/v1/search", NULL,
+		  "{\"service\":\"none\",\"query\":1}", 404,
+		  "unknown_service" },
+		{ "POST", "/v1/run", NULL,
+		  "{\"service\":\"" CLUSTER_SERVICE "\",\"query\":1}", 400,
+		  "bad_request" },
+		{ "GET", "/v1/search", NULL, NULL, 405, "bad_method" },
+		{ "GET", "/v1/none", NULL, NULL, 404, "not_found" },
+	};
+	cluster_t *cluster = *state;
+	const cluster_instance_t *instance = &cluster->instances[0];
+	size_t i;
+
+	cluster_start(cluster);
+	memset(large, '1', LARGE_BODY);
+	for (i = 0; i < MC_ARRAY_LEN(list); i++)
+		check_request(instance, &list[i]);
+	assert_int_equal(metric(instance, "bad_input"), MC_ARRAY_LEN(list));
+	cluster_wait_complete(cluster);
+}
+
+/* A connection to "IP:PORT" with bytes sent over it. */
+static int send_bytes(const char *address, const char *bytes, size_t size)
+{
+	const struct timeval wait = { .tv_sec = WAIT_S };
+	struct sockaddr_in to = { .sin_family = AF_INET };
+	const char *colon = strchr(address, ':');
+	char ip[CLUSTER_ADDRESS_SIZE];
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	snprintf(ip, sizeof(ip), "%.*s", (int)(colon - address), address);
+	assert_int_equal(inet_pton(AF_INET, ip, &to.sin_addr), 1);
+	to.sin_port = htons((uint16_t)strtoul(colon + 1, NULL, 10));
+	assert_true(fd >= 0);
+	setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &wait, sizeof(wait));
+	assert_int_equal(connect(fd, (struct sockaddr *)&to, sizeof(to)), 0);
+	assert_int_equal(send(fd, bytes, size, MSG_NOSIGNAL), size);
+	return fd;
+}
+
+/* The other side ends a connection with such bytes. */
+static void check_cut_off(const char *address, const char *bytes, size_t size)
+{
+	int fd = send_bytes(address, bytes, size);
+	char byte;
+
+	while (recv(fd, &byte, 1, 0) > 0)
+		;
+	assert_int_equal(send(fd, "", 0, MSG_NOSIGNAL), 0);
+	assert_int_not_equal(recv(fd, &byte, 1, MSG_DONTWAIT), 1);
+	close(fd);
+}
+
+/* Lines of the gather's log that tell of a link closed for its frames. */
+static int count_bad_links(const cluster_t *cluster)
+{
+	static char text[LOG_SIZE];
+	char path[PATH_SIZE];
+	const char *at = text;
+	FILE *file;
+	int count = 0;
+
+	snprintf(path, sizeof(path), "%s/gather-%s.log",
+		 harness_folder(cluster->harness), cluster->instances[0].ip);
+	file = fopen(path, "r");
+	assert_non_null(file);
+	text[fread(text, 1, LOG_SIZE - 1, file)] = '\0';
+	fclose(file);
+	while ((at = strstr(at, "link closed after a bad frame"))) {
+		count++;
+		at++;
+	}
+	return count;
+}
+
+typedef struct frame_t {
+	const char *bytes;
+	size_t size;
+} frame_t;
+
+#define FRAME(text)                                       \
+	{                                                 \
+		.bytes = (text), .size = sizeof(text) - 1 \
+	}
+
+static const frame_t bad_frames[] = {
+	/* A length that no frame may have. */
+	FRAME("\xff\xff\xff\xff"),
+	FRAME("GET /v1/search HTTP/1.1\r\n\r\n"),
+	/* A frame that is no message: empty, nil, a number, an open array. */
+	FRAME("\0\0\0\0"),
+	FRAME("\0\0\0\1\xc0"),
+	FRAME("\0\0\0\1\x07"),
+	FRAME("\0\0\0\5\xdd\xff\xff\xff\xff"),
+	FRAME("\0\0\0\4\x93\xc1\xc1\xc1"),
+};
+
+static void test_bad_frames(void **state)
+{
+	cluster_t *cluster = *state;
+	const cluster_instance_t *instance = &cluster->instances[0];
+	long before;
+	size_t i;
+
+	cluster_start(cluster);
+	cluster_wait_complete(cluster);
+	before = metric(instance, "bad_frames");
+	for (i = 0; i < MC_ARRAY_LEN(bad_frames); i++) {
+		check_cut_off(instance->gather_peer, bad_frames[i].bytes,
+			      bad_frames[i].size);
+		check_cut_off(instance->front_peer, bad_frames[i].bytes,
+			      bad_frames[i].size);
+		cluster_wait_complete(cluster);
+	}
+	assert_int_equal(metric(instance, "bad_frames") - before,
+			 MC_ARRAY_LEN(bad_frames));
+	assert_int_equal(count_bad_links(cluster), MC_ARRAY_LEN(bad_frames));
+	assert_true(harness_running(cluster->harness, instance->gather));
+	assert_true(harness_running(cluster->harness, instance->front));
+}
+
+/* Links whose frames never end hold up no others. */
+static void test_half_frames(void **state)
+{
+	static const char half[] = "\0\0\x10\0half";
+	cluster_t *cluster = *state;
+	const cluster_instance_t *instance = &cluster->instances[0];
+	int fds[2 * HALF_FRAMES];
+	int i;
+
+	cluster_start(cluster);
+	for (i = 0; i < HALF_FRAMES; i++) {
+		fds[2 * i] = send_bytes(instance->gather_peer, half,
+					sizeof(half) - 1);
+		fds[2 * i + 1] =
+			send_bytes(instance->callers, "POST /v1/se", 11);
+	}
+	cluster_wait_complete(cluster);
+	for (i = 0; i < 2 * HALF_FRAMES; i++)
+		close(fds[i]);
+	cluster_wait_complete(cluster);
+}
+
+static int set_up(void **state)
+{
+	cluster_params_t params = {
+		.name = "hostile",
+		.data_centers = 1,
+		.instances = 1,
+		.shards = 2,
+		.snapshots = 1,
+	};
+
+	*state = cluster_create(&params);
+	return *state ? 0 : -1;
+}
+
+static int tear_down(void **state)
+{
+	cluster_destroy(*state);
+	return 0;
+}
+
+#define HOSTILE_TEST(test) \
+	cmocka_unit_test_setup_teardown(test, set_up, tear_down)
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		HOSTILE_TEST(test_bad_requests),
+		HOSTILE_TEST(test_bad_frames),
+		HOSTILE_TEST(test_half_frames),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
