node: a verdict that an observation brings is published at once

The test of a version that is bad at once showed that one front of four went on with a share of 1% for ever, with the store down: the failures that it had seen itself brought the verdict while they were counted, before the judgement at whose change the node publishes a view. So the front neither acted on its verdict nor told peers. The same held for a verdict from merged counts.

Ruled out: to make the judgement report it, as the mover's tick tells only what the tick changed.

--- a/src/node/moves.c
+++ b/src/node/moves.c
@@ -80,34 +80,41 @@
 	return count;
 }
 
-static void judge(mc_node_t *node)
+/* Publishes what changed; @before is the number taken back until now. */
+static void tell(mc_node_t *node, uint32_t before, bool changed)
 {
-	mc_ms_t wall = mc_clock_wall(mc_shard_clock(node->shard));
-	uint32_t before = taken_back(node);
+	bool verdict = taken_back(node) > before;
 
-	if (!mc_mover_tick(node->mover, wall))
-		return;
-	if (taken_back(node) > before)
+	if (verdict)
 		spread_verdicts(node);
-	node_publish(node);
+	if (verdict || changed)
+		node_publish(node);
+}
+
+static bool judge(mc_node_t *node)
+{
+	mc_ms_t wall = mc_clock_wall(mc_shard_clock(node->shard));
+
+	return mc_mover_tick(node->mover, wall);
 }
 
 void node_moves_tick(mc_node_t *node)
 {
+	uint32_t before = taken_back(node);
+
 	if (!mc_mover_count(node->mover))
 		return;
-	judge(node);
+	tell(node, before, judge(node));
 	send_digests(node);
 }
 
 void node_moves_receive(mc_node_t *node, const mc_move_digest_t *digest)
 {
 	mc_ms_t wall = mc_clock_wall(mc_shard_clock(node->shard));
+	uint32_t before = taken_back(node);
+	bool changed = mc_mover_merge(node->mover, digest, wall);
 
-	if (mc_mover_merge(node->mover, digest, wall)) {
-		spread_verdicts(node);
-		node_publish(node);
-	}
+	tell(node, before, changed);
 }
 
 /* Rows of the evidence are of the view that the observer had. */
@@ -127,18 +134,20 @@
 	node->observed++;
 }
 
+/* An observation alone may bring a verdict. */
 static void run_observe(mc_shard_t *shard, void *arg)
 {
 	evidence_t *evidence = arg;
 	mc_node_t *node = evidence->node;
 	mc_ms_t wall = mc_clock_wall(mc_shard_clock(shard));
+	uint32_t before = taken_back(node);
 	uint32_t i;
 
 	if (mc_mover_count(node->mover)) {
 		for (i = 0; i < evidence->count; i++)
 			observe_one(node, evidence->view->config,
 				    &evidence->list[i], wall);
-		judge(node);
+		tell(node, before, judge(node));
 	}
 	mc_view_unref(evidence->view);
 	free(evidence);
