Have gathers report anew when a front's configuration changes

Cause: a front drops reports of targets that its configuration does not name. Found by reading, after one of some 250 starts of an installation waited 30 s in vain for a front to be ready and one for a request to run; whether this was their cause is not known, as their logs were overwritten, and 123 further starts under load did not show it.

Ruled out: keeping reports of unknown targets at the front (they have no row, and may never get one).

Change: a front says hello again on its open links when it takes a new configuration, and a gather that knows the link reports all its targets.

A test with a front stopped while a target was added passed without the change as well (the configuration came before the report), so it was not kept: the change has no test that was seen to fail.

--- a/src/front/front.c
+++ b/src/front/front.c
@@ -200,6 +200,7 @@
 	front_t *front = state;
 	mc_catalogue_t *catalogue =
 		mc_catalogue_create(view->config, front->catalogue);
+	bool changed;
 
 	if (!catalogue) {
 		mc_view_unref(view);
@@ -207,11 +208,14 @@
 	}
 	mc_catalogue_destroy(front->catalogue);
 	front->catalogue = catalogue;
+	changed = !front->view || front->view->config != view->config;
 	mc_view_unref(front->view);
 	front->view = view;
 	if (view->config->version && !front->configured_at)
 		front->configured_at = mc_shard_now(front->shard);
 	replace_router(front);
+	if (changed)
+		gather_links_ask_reports(front);
 }
 
 static void front_confirm(void *state, mc_ms_t now, mc_ms_t config_confirmed)
--- a/src/front/front_private.h
+++ b/src/front/front_private.h
@@ -204,6 +204,8 @@
 mc_handle_t *gather_links_update(front_t *front);
 /* Gathers that the view shows no more have left or are dead. */
 void gather_links_drop_absent(front_t *front);
+/* Has all linked gathers report their targets anew. */
+void gather_links_ask_reports(front_t *front);
 void gather_links_destroy(front_t *front);
 mc_err_t gather_send(front_t *front, mc_handle_t gather,
 		     const mc_wire_message_t *message);
--- a/src/front/gather_links.c
+++ b/src/front/gather_links.c
@@ -221,7 +221,7 @@
 	return err;
 }
 
-static void open_link(front_t *front, gather_link_t *gather)
+static void say_hello(front_t *front, const gather_link_t *gather)
 {
 	const mc_settings_t *settings = mc_process_settings(front->process);
 	const mc_wire_message_t hello = {
@@ -232,12 +232,29 @@
 		},
 	};
 
+	gather_send(front, gather->handle, &hello);
+}
+
+/* Reports name targets that the former configuration may not have had. */
+void gather_links_ask_reports(front_t *front)
+{
+	uint32_t cursor = 0;
+	mc_handle_t handle;
+	const gather_link_t *gather;
+
+	while ((gather = mc_table_next(front->gathers, &cursor, &handle)))
+		if (gather->open)
+			say_hello(front, gather);
+}
+
+static void open_link(front_t *front, gather_link_t *gather)
+{
 	if (mc_link_connect(front->shard, gather->address, &link_events, gather,
 			    &gather->link)) {
 		plan_retry(front, gather);
 		return;
 	}
-	gather_send(front, gather->handle, &hello);
+	say_hello(front, gather);
 }
 
 static gather_link_t *find_gather(const front_t *front, uint64_t key)
--- a/src/gather/intake.c
+++ b/src/gather/intake.c
@@ -214,13 +214,26 @@
 		send_whole(gather, route, shared, i);
 }
 
+/* A front says hello again when its configuration has changed. */
+static bool add_front(gather_t *gather, mc_handle_t link)
+{
+	uint32_t i;
+
+	for (i = 0; i < gather->front_count; i++)
+		if (mc_handle_equal(gather->fronts[i], link))
+			return true;
+	if (gather->front_count == MC_LINKS_MAX)
+		return false;
+	gather->fronts[gather->front_count++] = link;
+	return true;
+}
+
 static void take_hello(gather_t *gather, route_t route, shared_t *shared)
 {
 	if (shared->message->hello.gather ||
 	    shared->message->hello.version != MC_WIRE_VERSION ||
-	    gather->front_count == MC_LINKS_MAX)
+	    !add_front(gather, route.link))
 		return;
-	gather->fronts[gather->front_count++] = route.link;
 	send_to_all(gather, route, shared);
 }
 
