tests: let the frames' fuzzing know classes of requests

A query's class is below 3; the fuzz program wrote any number below 4 and held the refusal for a fault.

--- a/tests/fuzz/wire_fuzz.c
+++ b/tests/fuzz/wire_fuzz.c
@@ -18,12 +18,12 @@
 };
 
 /*
- * Fields of each kind: n number, k number below 4, t time, b bool, d double,
- * s string, ( ) array, * list of what follows, 8 eight of what follows.
+ * Fields of each kind: n number, k number below 4, c class, t time, b bool, d
+ * double, s string, ( ) array, * list of what follows, 8 eight of what follows.
  */
 static const char *const shapes[] = {
 	[MC_WIRE_HELLO] = "ksb",
-	[MC_WIRE_QUERY] = "sssskkt*(nnkb)",
+	[MC_WIRE_QUERY] = "sssskct*(nnkb)",
 	[MC_WIRE_RESULT] = "*(nkst*(sd))",
 	[MC_WIRE_CANCEL] = "*n",
 	[MC_WIRE_REPORT] = "*(nbbb*s)",
@@ -135,6 +135,9 @@
 	case 'k':
 		msgpack_pack_uint32(packer, fuzz_below(input, 4));
 		break;
+	case 'c':
+		msgpack_pack_uint32(packer, fuzz_below(input, MC_WIRE_CLASSES));
+		break;
 	case 't':
 		msgpack_pack_int64(packer, (int8_t)fuzz_u8(input) * 1000L);
 		break;
