--- a/Makefile
+++ b/Makefile
@@ -55,11 +55,11 @@
 	@bash tools/demo $(BUILD)
 
 # Measures an installation under load; tables on standard output and in
-# bench/out/tables.md, and bench/out/SCENARIO.csv.
+# bench/out/SCENARIO.md, and the figures in bench/out/SCENARIO.csv.
 bench: build
 	@mkdir -p bench/out
 	@cd $(BUILD) && ./bench/bench $(SCENARIO) $(SECONDS) $(RATE) \
-		"$(CURDIR)/bench/out" | tee "$(CURDIR)/bench/out/tables.md"
+		"$(CURDIR)/bench/out"
 
 fuzz: build-fuzz
 	@for f in $(BUILD)-fuzz/tests/fuzz/*_fuzz; do \
--- a/bench/bench.c
+++ b/bench/bench.c
@@ -36,7 +36,8 @@
 	bench_t bench = {
 		.seconds = seconds,
 		.rate = rate,
-		.report = report_open(folder, scenario->name, scenario->title),
+		.report = report_open(folder, scenario->name, scenario->title,
+				      seconds),
 	};
 
 	if (!bench.report) {
--- a/bench/overload.c
+++ b/bench/overload.c
@@ -24,6 +24,8 @@
 static const overload_variant_t variants[] = {
 	{ "0.5x; defaults", NULL, half_load },
 	{ "2x; admission class, limit adaptive", NULL, double_load },
+	{ "2x; admission class, concurrency 4", "concurrency = 4\n",
+	  double_load },
 	{ "2x; admission none, limit adaptive", "admission = \"none\"\n",
 	  double_load },
 	{ "2x; admission class, limit fixed", "limit = \"fixed\"\n",
--- a/bench/result.c
+++ b/bench/result.c
@@ -2,9 +2,11 @@
  * Tables are in Markdown, so that a page can hold them as printed. The main
  * table is printed row by row; the rows are kept for the tables after it.
  */
+#include <stdarg.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <time.h>
 
 #include "result.h"
 
@@ -12,14 +14,34 @@
 	ROWS_MAX = 64,
 	PATH_SIZE = 512,
 	KINDS_SIZE = 256,
+	DATE_SIZE = 32,
 };
 
 struct report_t {
 	FILE *csv;
+	FILE *page;
 	uint32_t count;
 	result_t rows[ROWS_MAX];
 };
 
+/* Prints to standard output and to the scenario's page. */
+static void emit(const report_t *report, const char *format, ...)
+	__attribute__((format(printf, 2, 3)));
+
+static void emit(const report_t *report, const char *format, ...)
+{
+	va_list args;
+
+	va_start(args, format);
+	vprintf(format, args);
+	va_end(args);
+	va_start(args, format);
+	vfprintf(report->page, format, args);
+	va_end(args);
+	fflush(stdout);
+	fflush(report->page);
+}
+
 void result_extra(result_t *result, const char *name, double value)
 {
 	if (result->extra_count < RESULT_EXTRAS_MAX)
@@ -27,25 +49,48 @@
 			(result_extra_t){ .name = name, .value = value };
 }
 
-report_t *report_open(const char *folder, const char *scenario,
-		      const char *title)
+static FILE *open_file(const char *folder, const char *scenario,
+		       const char *kind)
 {
-	report_t *report = calloc(1, sizeof(*report));
 	char path[PATH_SIZE];
+
+	snprintf(path, sizeof(path), "%s/%s.%s", folder, scenario, kind);
+	return fopen(path, "w");
+}
+
+static void emit_title(const report_t *report, const char *scenario,
+		       const char *title, double seconds)
+{
+	time_t now = time(NULL);
+	char date[DATE_SIZE];
 	double load = 0;
 
+	getloadavg(&load, 1);
+	strftime(date, sizeof(date), "%Y-%m-%d %H:%M UTC", gmtime(&now));
+	emit(report,
+	     "\n### %s: %s\n\n%s, %.0f s per variant, load average of the "
+	     "machine before: %.1f.\n\n",
+	     scenario, title, date, seconds, load);
+}
+
+report_t *report_open(const char *folder, const char *scenario,
+		      const char *title, double seconds)
+{
+	report_t *report = calloc(1, sizeof(*report));
+
 	if (!report)
 		return NULL;
-	snprintf(path, sizeof(path), "%s/%s.csv", folder, scenario);
-	report->csv = fopen(path, "w");
-	if (!report->csv) {
+	report->csv = open_file(folder, scenario, "csv");
+	report->page = open_file(folder, scenario, "md");
+	if (!report->csv || !report->page) {
+		if (report->csv)
+			fclose(report->csv);
+		if (report->page)
+			fclose(report->page);
 		free(report);
 		return NULL;
 	}
-	getloadavg(&load, 1);
-	printf("\n### %s: %s\n\nLoad average of the machine before: %.1f.\n\n",
-	       scenario, title, load);
-	fflush(stdout);
+	emit_title(report, scenario, title, seconds);
 	return report;
 }
 
@@ -68,31 +113,33 @@
 				mc_error_name((mc_err_t)i), result->refused[i]);
 }
 
-static void print_head(void)
+static void print_head(const report_t *report)
 {
-	printf("| variant | searches/s | answered of sent | p50 ms | p99 ms | "
-	       "p99.9 ms | coverage | dishonest | extra load %% | refused | "
-	       "duplicates of runs | most in flight (bears) | breaches |\n"
-	       "| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | "
-	       "--- | --- | --- |\n");
+	emit(report,
+	     "| variant | searches/s | answered of sent | p50 ms | p99 ms | "
+	     "p99.9 ms | coverage | dishonest | extra load %% | refused | "
+	     "duplicates of runs | most in flight (bears) | breaches |\n"
+	     "| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | "
+	     "--- | --- | --- |\n");
 }
 
-static void print_row(const result_t *row)
+static void print_row(const report_t *report, const result_t *row)
 {
 	char kinds[KINDS_SIZE];
 
 	write_kinds(row, ", ", kinds);
-	printf("| %s | %.0f | %zu of %zu | %.1f | %.1f | %.1f | %.4f | %zu | "
-	       "%.2f | %s | %zu of %zu | %lld (%lld) | %lld |\n",
-	       row->variant, row->rate, row->answered, row->sent, row->p50,
-	       row->p99, row->p999, row->coverage, row->dishonest,
-	       row->extra_percent, kinds, row->duplicates, row->runs,
-	       (long long)row->max_in_flight, (long long)row->bears,
-	       (long long)row->breaches);
+	emit(report,
+	     "| %s | %.0f | %zu of %zu | %.1f | %.1f | %.1f | %.4f | %zu | "
+	     "%.2f | %s | %zu of %zu | %lld (%lld) | %lld |\n",
+	     row->variant, row->rate, row->answered, row->sent, row->p50,
+	     row->p99, row->p999, row->coverage, row->dishonest,
+	     row->extra_percent, kinds, row->duplicates, row->runs,
+	     (long long)row->max_in_flight, (long long)row->bears,
+	     (long long)row->breaches);
 	if (row->not_sent)
-		printf("\n(%zu requests could not be sent by the tool)\n\n",
-		       row->not_sent);
-	fflush(stdout);
+		emit(report,
+		     "\n(%zu requests could not be sent by the tool)\n\n",
+		     row->not_sent);
 }
 
 static void write_csv_head(FILE *csv, const result_t *row)
@@ -103,7 +150,7 @@
 		"scenario,variant,rate,sent,not_sent,late_ms,answered,"
 		"p50_ms,p99_ms,p999_ms,coverage,partial,dishonest,"
 		"extra_percent,hedges,retries,denied,refused,runs,duplicates,"
-		"max_in_flight,bears,breaches,cold_breaches,sheds,"
+		"max_in_flight,bears,breaches,cold_breaches,sheds,per_request,"
 		"front_us,gather_us,front_query_us,gather_query_us,"
 		"front_rss_mb,gather_rss_mb,log_dropped,"
 		"urgent_p99_ms,interactive_p99_ms,report_p99_ms");
@@ -128,11 +175,11 @@
 		(long long)row->max_in_flight, (long long)row->bears,
 		(long long)row->breaches, (long long)row->cold_breaches,
 		(long long)row->sheds);
-	fprintf(csv, "%.2f,%.2f,%.1f,%.1f,%.2f,%.2f,%.0f,%.2f,%.2f,%.2f",
-		row->front_us, row->gather_us, row->front_query_us,
-		row->gather_query_us, row->front_rss, row->gather_rss,
-		row->log_dropped, row->class_p99[0], row->class_p99[1],
-		row->class_p99[2]);
+	fprintf(csv, "%.2f,%.2f,%.2f,%.1f,%.1f,%.2f,%.2f,%.0f,%.2f,%.2f,%.2f",
+		row->per_request, row->front_us, row->gather_us,
+		row->front_query_us, row->gather_query_us, row->front_rss,
+		row->gather_rss, row->log_dropped, row->class_p99[0],
+		row->class_p99[1], row->class_p99[2]);
 	for (i = 0; i < row->extra_count; i++)
 		fprintf(csv, ",%.3f", row->extras[i].value);
 	fprintf(csv, "\n");
@@ -144,9 +191,9 @@
 	if (!report->count)
 		write_csv_head(report->csv, result);
 	if (!report->count && result->rate > 0)
-		print_head();
+		print_head(report);
 	if (result->rate > 0)
-		print_row(result);
+		print_row(report, result);
 	write_csv(report->csv, result);
 	if (report->count < ROWS_MAX)
 		report->rows[report->count++] = *result;
@@ -157,22 +204,23 @@
 	const result_t *row;
 	uint32_t i;
 
-	printf("\n| variant | front us per sub-query | gather us per sub-query "
-	       "| front us per search | gather us per search | front MB | "
-	       "gather MB | hedges | retries | denied | sheds | cold breaches | log "
-	       "lines dropped | latest send ms |\n"
-	       "| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | "
-	       "--- | --- | --- | --- |\n");
+	emit(report,
+	     "\n| variant | front us per sub-query | gather us per sub-query "
+	     "| front us per search | gather us per search | front MB | "
+	     "gather MB | hedges | retries | denied | sheds | cold breaches | log "
+	     "lines dropped | latest send ms | sub-queries per request |\n"
+	     "| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | "
+	     "--- | --- | --- | --- | --- |\n");
 	for (i = 0; i < report->count; i++) {
 		row = &report->rows[i];
-		printf("| %s | %.1f | %.1f | %.0f | %.0f | %.1f | %.1f | %.0f | %.0f "
-		       "| %.0f | %lld | %lld | %.0f | %.1f |\n",
-		       row->variant, row->front_us, row->gather_us,
-		       row->front_query_us, row->gather_query_us,
-		       row->front_rss, row->gather_rss, row->hedges,
-		       row->retries, row->denied, (long long)row->sheds,
-		       (long long)row->cold_breaches, row->log_dropped,
-		       row->late_ms);
+		emit(report,
+		     "| %s | %.1f | %.1f | %.0f | %.0f | %.1f | %.1f | %.0f | %.0f "
+		     "| %.0f | %lld | %lld | %.0f | %.1f | %.2f |\n",
+		     row->variant, row->front_us, row->gather_us,
+		     row->front_query_us, row->gather_query_us, row->front_rss,
+		     row->gather_rss, row->hedges, row->retries, row->denied,
+		     (long long)row->sheds, (long long)row->cold_breaches,
+		     row->log_dropped, row->late_ms, row->per_request);
 	}
 }
 
@@ -181,18 +229,20 @@
 	const result_t *row;
 	uint32_t i;
 
-	printf("\n| variant | urgent p99 ms | interactive p99 ms | report p99 "
-	       "ms | urgent refused | interactive refused | report refused |\n"
-	       "| --- | --- | --- | --- | --- | --- | --- |\n");
+	emit(report,
+	     "\n| variant | urgent p99 ms | interactive p99 ms | report p99 "
+	     "ms | urgent refused | interactive refused | report refused |\n"
+	     "| --- | --- | --- | --- | --- | --- | --- |\n");
 	for (i = 0; i < report->count; i++) {
 		row = &report->rows[i];
-		printf("| %s | %.1f | %.1f | %.1f | %zu of %zu | %zu of %zu | "
-		       "%zu of %zu |\n",
-		       row->variant, row->class_p99[0], row->class_p99[1],
-		       row->class_p99[2], row->class_refused[0],
-		       row->class_sent[0], row->class_refused[1],
-		       row->class_sent[1], row->class_refused[2],
-		       row->class_sent[2]);
+		emit(report,
+		     "| %s | %.1f | %.1f | %.1f | %zu of %zu | %zu of %zu | "
+		     "%zu of %zu |\n",
+		     row->variant, row->class_p99[0], row->class_p99[1],
+		     row->class_p99[2], row->class_refused[0],
+		     row->class_sent[0], row->class_refused[1],
+		     row->class_sent[1], row->class_refused[2],
+		     row->class_sent[2]);
 	}
 }
 
@@ -201,18 +251,19 @@
 	const result_t *first = &report->rows[0];
 	uint32_t i, j;
 
-	printf("\n| variant |");
+	emit(report, "\n| variant |");
 	for (j = 0; j < first->extra_count; j++)
-		printf(" %s |", first->extras[j].name);
-	printf("\n| --- |");
+		emit(report, " %s |", first->extras[j].name);
+	emit(report, "\n| --- |");
 	for (j = 0; j < first->extra_count; j++)
-		printf(" --- |");
+		emit(report, " --- |");
 	for (i = 0; i < report->count; i++) {
-		printf("\n| %s |", report->rows[i].variant);
+		emit(report, "\n| %s |", report->rows[i].variant);
 		for (j = 0; j < report->rows[i].extra_count; j++)
-			printf(" %.2f |", report->rows[i].extras[j].value);
+			emit(report, " %.2f |",
+			     report->rows[i].extras[j].value);
 	}
-	printf("\n");
+	emit(report, "\n");
 }
 
 void report_close(report_t *report)
@@ -225,7 +276,7 @@
 		print_classes(report);
 	if (report->count && first->extra_count)
 		print_extras(report);
-	fflush(stdout);
 	fclose(report->csv);
+	fclose(report->page);
 	free(report);
 }
--- a/bench/result.h
+++ b/bench/result.h
@@ -52,6 +52,7 @@
  * @breaches: sub-queries above what the target bore, cold or warm
  * @cold_breaches: those at a cold target
  * @sheds: sub-queries that targets shed
+ * @per_request: sub-queries in one HTTP request to a target
  * @front_us: processor time of fronts per sub-query, microseconds
  * @gather_us: the same of gathers
  * @front_query_us: the same of fronts per answered search
@@ -92,6 +93,7 @@
 	json_int_t breaches;
 	json_int_t cold_breaches;
 	json_int_t sheds;
+	double per_request;
 	double front_us;
 	double gather_us;
 	double front_query_us;
@@ -110,14 +112,15 @@
 
 /**
  * report_open() - begin the table and the file of a scenario
- * @folder: where the file NAME.csv is written
+ * @folder: where NAME.csv and NAME.md, the printed tables, are written
  * @scenario: name of the scenario
  * @title: what it shows
+ * @seconds: length of each load
  *
- * Return: owned by the caller; NULL if the file can't be written.
+ * Return: owned by the caller; NULL if a file can't be written.
  */
 report_t *report_open(const char *folder, const char *scenario,
-		      const char *title);
+		      const char *title, double seconds);
 
 /** report_row() - print a row of the table, and write it to the file */
 void report_row(report_t *report, const result_t *result);
--- a/bench/trial.c
+++ b/bench/trial.c
@@ -43,6 +43,7 @@
 } metrics_t;
 
 typedef struct totals_t {
+	json_int_t requests;
 	json_int_t queries;
 	json_int_t sheds;
 	json_int_t breaches;
@@ -117,6 +118,7 @@
 	snprintf(url, sizeof(url), "%s/standin", target->url);
 	json = harness_get(url);
 	totals = (totals_t){
+		.requests = integer(json, "search_requests"),
 		.queries = integer(json, "queries"),
 		.sheds = integer(json, "sheds"),
 		.breaches = integer(json, "breaches"),
@@ -152,6 +154,11 @@
 	}
 }
 
+static double ratio(double part, double whole)
+{
+	return whole > 0 ? part / whole : 0;
+}
+
 /* A target that was killed in between counts from 0 again. */
 static json_int_t grown(json_int_t before, json_int_t after)
 {
@@ -162,7 +169,7 @@
 static json_int_t fill_targets(const trial_t *trial, const reading_t *before,
 			       const reading_t *after, result_t *result)
 {
-	json_int_t queries = 0;
+	json_int_t queries = 0, requests = 0;
 	uint32_t i;
 
 	for (i = 0; i < trial->cluster->target_count; i++) {
@@ -170,6 +177,7 @@
 		const totals_t *new = &after->targets[i];
 
 		queries += grown(old->queries, new->queries);
+		requests += grown(old->requests, new->requests);
 		result->sheds += grown(old->sheds, new->sheds);
 		result->breaches += grown(old->breaches, new->breaches);
 		result->cold_breaches +=
@@ -178,14 +186,10 @@
 			result->max_in_flight = new->max_in_flight;
 	}
 	result->bears = trial->bears;
+	result->per_request = ratio((double)queries, (double)requests);
 	return queries;
 }
 
-static double ratio(double part, double whole)
-{
-	return whole > 0 ? part / whole : 0;
-}
-
 static void fill_costs(const trial_t *trial, const reading_t *before,
 		       const reading_t *after, json_int_t queries,
 		       result_t *result)
