--- a/bench/result.c
+++ b/bench/result.c
@@ -165,7 +165,8 @@
 	uint32_t i;
 
 	write_kinds(row, "; ", kinds);
-	fprintf(csv, "%s,%s,%.1f,%zu,%zu,%.2f,%zu,%.2f,%.2f,%.2f,%.5f,%zu,%zu,",
+	fprintf(csv,
+		"%s,\"%s\",%.1f,%zu,%zu,%.2f,%zu,%.2f,%.2f,%.2f,%.5f,%zu,%zu,",
 		row->scenario, row->variant, row->rate, row->sent,
 		row->not_sent, row->late_ms, row->answered, row->p50, row->p99,
 		row->p999, row->coverage, row->partial, row->dishonest);
