node: who hears of a verdict tells some peers, not all

Cause: found by reading. A verdict that a peer told was sent on to every process of the data centre, so that at 172 processes each verdict cost some 30,000 messages. Change: who judges tells all near; who hears of it tells four near and four anywhere. Digests of each second repair what is lost, as before.

system_move, system_member and unit_move pass.

--- a/src/node/moves.c
+++ b/src/node/moves.c
@@ -43,12 +43,12 @@
 	}
 }
 
-/* A move was taken back here or at a peer: everybody near learns it now. */
-static void spread_verdicts(mc_node_t *node)
+/* A move was taken back here or at a peer: peers learn it now. */
+static void spread_verdicts(mc_node_t *node, uint32_t near)
 {
-	const node_peers_t all_near = {
+	const node_peers_t near_peers = {
 		.same_data_center = true,
-		.count = MC_MEMBERS_MAX,
+		.count = near,
 	};
 	const node_peers_t far = { .count = NODE_FANOUT };
 	mc_move_status_t status;
@@ -58,7 +58,7 @@
 		mc_mover_status(node->mover, i, &status);
 		if (status.state != MC_MOVE_TAKEN_BACK)
 			continue;
-		send_digest(node, i, &all_near);
+		send_digest(node, i, &near_peers);
 		send_digest(node, i, &far);
 		mc_log(node->log, MC_LOG_WARNING, "move",
 		       "version taken back service=%s reason=\"%s\"",
@@ -83,13 +83,16 @@
 	return count;
 }
 
-/* Publishes what changed; @before is the number taken back until now. */
-static void tell(mc_node_t *node, uint32_t before, bool changed)
+/*
+ * Publishes what changed; @before is the number taken back until now. Who finds
+ * a verdict tells @near peers of the data centre.
+ */
+static void tell(mc_node_t *node, uint32_t before, bool changed, uint32_t near)
 {
 	bool verdict = taken_back(node) > before;
 
 	if (verdict)
-		spread_verdicts(node);
+		spread_verdicts(node, near);
 	if (verdict || changed)
 		node_publish(node);
 }
@@ -111,7 +114,7 @@
 
 	if (!mc_mover_count(node->mover) || node->params.role != MC_ROLE_FRONT)
 		return;
-	tell(node, before, judge(node));
+	tell(node, before, judge(node), MC_MEMBERS_MAX);
 	send_digests(node);
 }
 
@@ -121,7 +124,9 @@
 	uint32_t before = taken_back(node);
 	bool changed = mc_mover_merge(node->mover, digest, wall);
 
-	tell(node, before, changed);
+	/* Who only heard of it passes it on to some. */
+	tell(node, before, changed,
+	     digest->taken_back ? NODE_FANOUT : MC_MEMBERS_MAX);
 }
 
 /* Rows of the evidence are of the view that the observer had. */
@@ -154,7 +159,7 @@
 		for (i = 0; i < evidence->count; i++)
 			observe_one(node, evidence->view->config,
 				    &evidence->list[i], wall);
-		tell(node, before, judge(node));
+		tell(node, before, judge(node), MC_MEMBERS_MAX);
 	}
 	mc_view_unref(evidence->view);
 	free(evidence);
