--- a/src/limit/adaptive.c
+++ b/src/limit/adaptive.c
@@ -24,6 +24,9 @@
 	RAMP_WITHOUT_SLOT = 2,
 	/* A ramp rests for this time after a high load report or a shed, ms. */
 	RAMP_REST_MS = 500,
+	/* Load reports, which may mislead, hold a ramp up for its time n times.
+	 */
+	RAMP_HINT_TIMES = 2,
 	/* A load report counts for this time, ms. */
 	HINT_LIFE_MS = 5000,
 };
@@ -37,7 +40,7 @@
 /* Share of sheds that, with a jump of latency, means a cold target. */
 static const double cold_shed_share = 0.5;
 /* Reported load from which on a ramp rests. */
-static const double ramp_load = 0.7;
+static const double ramp_load = 0.9;
 /* Reported load from which on the concurrency is lowered... */
 static const double hint_start = 0.8;
 /* ... down to this share of it at full load. */
@@ -47,6 +50,7 @@
  * @risen: when the whole last changed
  * @lowered: when it was last lowered
  * @rest_until: a ramp does not rise before
+ * @ramp_at: when the ramp began
  * @epoch: sub-queries taken before belong to an earlier start of the target
  * @start_known: @start_id is known
  * @start_id: of the target's present process
@@ -61,6 +65,7 @@
 	mc_ms_t risen;
 	mc_ms_t lowered;
 	mc_ms_t rest_until;
+	mc_ms_t ramp_at;
 	mc_ms_t epoch;
 	bool start_known;
 	uint64_t start_id;
@@ -125,6 +130,7 @@
 	adaptive->lowered = now;
 	adaptive->epoch = now;
 	adaptive->rest_until = now;
+	adaptive->ramp_at = now;
 	adaptive->latency = (mc_latency_t){ 0 };
 	adaptive->shed_share = 0;
 }
@@ -167,7 +173,9 @@
 		return;
 	adaptive->hint = 1 - fmax(excess, 0) * (1 - hint_floor);
 	adaptive->hint_until = now + HINT_LIFE_MS;
-	if (!limiter->ramping || load < ramp_load)
+	if (!limiter->ramping || load < ramp_load ||
+	    now - adaptive->ramp_at >
+		    limiter->params.ramp_min * RAMP_HINT_TIMES)
 		return;
 	if (load >= 1 && now >= adaptive->rest_until)
 		limiter->whole = fmax(limiter->whole - 1, 1);
--- a/tests/system/bear_test.c
+++ b/tests/system/bear_test.c
@@ -22,25 +22,6 @@
 
 #define WARM "{\"delay_ms\":5,\"bears\":16,\"shed\":true}"
 
-static void print_counts(const cluster_target_t *target, const char *when)
-{
-	print_message("%s: queries=%lld breaches=%lld cold_breaches=%lld "
-		      "most=%lld\n",
-		      when, (long long)cluster_counter(target, "queries"),
-		      (long long)cluster_counter(target, "breaches"),
-		      (long long)cluster_counter(target, "cold_breaches"),
-		      (long long)cluster_counter(target, "max_in_flight"));
-}
-
-static void begin(cluster_t *cluster, cluster_load_t *load, const char *body)
-{
-	cluster_start(cluster);
-	cluster_standin_all(cluster, body);
-	cluster_wait_complete(cluster);
-	cluster_load_begin(load);
-	cluster_load_wait(load, WARM_ANSWERS);
-}
-
 /*
  * What a target bears can only be found by its sheds, which are few, also while
  * its owners change.
@@ -56,16 +37,16 @@
 		.pause_ms = 5,
 	};
 
-	begin(cluster, &load, WARM);
-	print_counts(target, "first");
+	cluster_load_warm(&load, WARM, WARM_ANSWERS);
+	cluster_print_counts(target, "first");
 	cluster_load_wait(&load, PHASE_ANSWERS);
-	print_counts(target, "steady");
+	cluster_print_counts(target, "steady");
 	harness_stop(cluster->harness, cluster->instances[1].gather, SIGKILL);
 	cluster_load_wait(&load, PHASE_ANSWERS);
-	print_counts(target, "one owner killed");
+	cluster_print_counts(target, "one owner killed");
 	cluster_start_gather(cluster, &cluster->instances[1]);
 	cluster_load_wait(&load, 2 * PHASE_ANSWERS);
-	print_counts(target, "owner joined");
+	cluster_print_counts(target, "owner joined");
 	cluster_load_end(&load);
 	assert_in_range(100 * cluster_counter(target, "breaches"), 0,
 			EXTRA_PERCENT * cluster_counter(target, "queries"));
@@ -85,13 +66,8 @@
 	return *state ? 0 : -1;
 }
 
-static int tear_down(void **state)
-{
-	cluster_destroy(*state);
-	return 0;
-}
-
-#define BEAR_TEST(test) cmocka_unit_test_setup_teardown(test, set_up, tear_down)
+#define BEAR_TEST(test) \
+	cmocka_unit_test_setup_teardown(test, set_up, cluster_tear_down)
 
 int main(void)
 {
--- a/tests/system/cluster.c
+++ b/tests/system/cluster.c
@@ -53,6 +53,12 @@
 	free(cluster);
 }
 
+int cluster_tear_down(void **state)
+{
+	cluster_destroy(*state);
+	return 0;
+}
+
 void cluster_start_platform(cluster_t *cluster)
 {
 	const char *colon = strchr(cluster->platform_address, ':');
--- a/tests/system/cluster.h
+++ b/tests/system/cluster.h
@@ -118,6 +118,9 @@
 /** cluster_destroy() - kill all processes and free */
 void cluster_destroy(cluster_t *cluster);
 
+/** cluster_tear_down() - the same, as cmocka's tear-down of a test */
+int cluster_tear_down(void **state);
+
 /** cluster_start() - start all, put the configuration, wait until ready */
 void cluster_start(cluster_t *cluster);
 
@@ -251,6 +254,18 @@
 /** cluster_load_begin() - start the callers; the parameters are set */
 void cluster_load_begin(cluster_load_t *load);
 
+/**
+ * cluster_load_warm() - start the cluster and the callers
+ * @load: its parameters are set
+ * @body: behaviour of all targets
+ * @answers: answers to wait for
+ */
+void cluster_load_warm(cluster_load_t *load, const char *body,
+		       uint32_t answers);
+
+/** cluster_print_counts() - print a target's counts of work and breaches */
+void cluster_print_counts(const cluster_target_t *target, const char *when);
+
 /** cluster_load_drop() - end the callers of a test that has failed */
 void cluster_load_drop(cluster_t *cluster);
 
--- a/tests/system/cluster_load.c
+++ b/tests/system/cluster_load.c
@@ -215,3 +215,24 @@
 	load->state = NULL;
 	free_state(state);
 }
+
+void cluster_load_warm(cluster_load_t *load, const char *body, uint32_t answers)
+{
+	cluster_t *cluster = load->cluster;
+
+	cluster_start(cluster);
+	cluster_standin_all(cluster, body);
+	cluster_wait_complete(cluster);
+	cluster_load_begin(load);
+	cluster_load_wait(load, answers);
+}
+
+void cluster_print_counts(const cluster_target_t *target, const char *when)
+{
+	print_message("%s: queries=%lld breaches=%lld cold_breaches=%lld "
+		      "most=%lld\n",
+		      when, (long long)cluster_counter(target, "queries"),
+		      (long long)cluster_counter(target, "breaches"),
+		      (long long)cluster_counter(target, "cold_breaches"),
+		      (long long)cluster_counter(target, "max_in_flight"));
+}
--- a/tests/system/cold_test.c
+++ b/tests/system/cold_test.c
@@ -24,25 +24,6 @@
 #define WARM "{\"delay_ms\":5,\"bears\":16,\"shed\":true}"
 #define COLD "{\"cold_ms\":3000,\"cold_bears\":4,\"restart\":true}"
 
-static void print_counts(const cluster_target_t *target, const char *when)
-{
-	print_message("%s: queries=%lld breaches=%lld cold_breaches=%lld "
-		      "most=%lld\n",
-		      when, (long long)cluster_counter(target, "queries"),
-		      (long long)cluster_counter(target, "breaches"),
-		      (long long)cluster_counter(target, "cold_breaches"),
-		      (long long)cluster_counter(target, "max_in_flight"));
-}
-
-static void begin(cluster_t *cluster, cluster_load_t *load, const char *body)
-{
-	cluster_start(cluster);
-	cluster_standin_all(cluster, body);
-	cluster_wait_complete(cluster);
-	cluster_load_begin(load);
-	cluster_load_wait(load, WARM_ANSWERS);
-}
-
 /*
  * Once the new start id could be known, a cold target gets no more than it
  * bears; what came before is printed.
@@ -60,16 +41,16 @@
 	json_int_t known, later;
 	mc_ms_t start;
 
-	begin(cluster, &load, WARM);
-	print_counts(target, "warm");
+	cluster_load_warm(&load, WARM, WARM_ANSWERS);
+	cluster_print_counts(target, "warm");
 	cluster_standin(target, COLD);
 	start = mc_clock_now(mc_clock_system());
 	cluster_load_wait(&load, KNOWN_ANSWERS);
 	known = cluster_counter(target, "cold_breaches");
-	print_counts(target, "start id known");
+	cluster_print_counts(target, "start id known");
 	while (mc_clock_now(mc_clock_system()) - start < COLD_MS)
 		cluster_load_wait(&load, ANSWERS);
-	print_counts(target, "cold");
+	cluster_print_counts(target, "cold");
 	later = cluster_counter(target, "cold_breaches");
 	cluster_load_end(&load);
 	assert_int_equal(later, known);
@@ -89,13 +70,8 @@
 	return *state ? 0 : -1;
 }
 
-static int tear_down(void **state)
-{
-	cluster_destroy(*state);
-	return 0;
-}
-
-#define COLD_TEST(test) cmocka_unit_test_setup_teardown(test, set_up, tear_down)
+#define COLD_TEST(test) \
+	cmocka_unit_test_setup_teardown(test, set_up, cluster_tear_down)
 
 int main(void)
 {
--- a/tests/system/config_test.c
+++ b/tests/system/config_test.c
@@ -334,16 +334,10 @@
 	return *state ? 0 : -1;
 }
 
-static int tear_down(void **state)
-{
-	cluster_destroy(*state);
-	return 0;
-}
-
 #define FLEET_TEST(test) \
-	cmocka_unit_test_setup_teardown(test, set_up_fleet, tear_down)
+	cmocka_unit_test_setup_teardown(test, set_up_fleet, cluster_tear_down)
 #define SUBMIT_TEST(test) \
-	cmocka_unit_test_setup_teardown(test, set_up_few, tear_down)
+	cmocka_unit_test_setup_teardown(test, set_up_few, cluster_tear_down)
 
 int main(void)
 {
--- a/tests/system/search_test.c
+++ b/tests/system/search_test.c
@@ -385,14 +385,8 @@
 	return *state ? 0 : -1;
 }
 
-static int tear_down(void **state)
-{
-	cluster_destroy(*state);
-	return 0;
-}
-
 #define SEARCH_TEST(test) \
-	cmocka_unit_test_setup_teardown(test, set_up, tear_down)
+	cmocka_unit_test_setup_teardown(test, set_up, cluster_tear_down)
 
 int main(int argc, char **argv)
 {
