limit: a target that says it is cold gets one sub-query at a time

Ruled out: slower ramps and rests on load reports; the report's scale is that of the warm target, and each owner learns a bound only by breaching it. Change: a target's report may carry "cold_ms"; until then the owners' whole is 1, dealt out by rank, and the ramp begins after it. The stand-in reports it.

--- a/src/gather/report.c
+++ b/src/gather/report.c
@@ -155,11 +155,15 @@
 void report_take(gather_t *gather, target_t *target, const json_t *report)
 {
 	const json_t *load = json_object_get(report, "load");
+	const json_t *cold = json_object_get(report, "cold_ms");
 	bool draining = json_is_true(json_object_get(report, "draining"));
 	bool changed;
 
 	report_reached(gather, target);
 	take_start(gather, target, report);
+	if (json_is_integer(cold))
+		mc_limiter_cold(target->limiter, json_integer_value(cold),
+				mc_shard_now(gather->shard));
 	if (json_is_number(load))
 		mc_limiter_hint(target->limiter, json_number_value(load),
 				mc_shard_now(gather->shard));
--- a/src/limit/adaptive.c
+++ b/src/limit/adaptive.c
@@ -51,6 +51,7 @@
  * @lowered: when it was last lowered
  * @rest_until: a ramp does not rise before
  * @ramp_at: when the ramp began
+ * @cold_until: the target says that it is cold until then
  * @epoch: sub-queries taken before belong to an earlier start of the target
  * @start_known: @start_id is known
  * @start_id: of the target's present process
@@ -66,6 +67,7 @@
 	mc_ms_t lowered;
 	mc_ms_t rest_until;
 	mc_ms_t ramp_at;
+	mc_ms_t cold_until;
 	mc_ms_t epoch;
 	bool start_known;
 	uint64_t start_id;
@@ -96,7 +98,7 @@
 				    : 1.0 / PROBE_MS;
 
 	if (!place->owners || place->rank < (uint32_t)base->whole ||
-	    elapsed <= 0)
+	    elapsed <= 0 || now < adaptive->cold_until)
 		return base->whole;
 	return fmin(fmin(base->whole + rate * elapsed, place->rank + 1.0),
 		    most);
@@ -182,6 +184,19 @@
 	adaptive->rest_until = now + RAMP_REST_MS;
 }
 
+static void adaptive_cold(mc_limiter_t *limiter, mc_ms_t left, mc_ms_t now)
+{
+	adaptive_t *adaptive = (adaptive_t *)limiter;
+
+	if (left <= 0 || !limiter->params.ramp)
+		return;
+	if (now >= adaptive->cold_until)
+		begin_ramp(adaptive, now);
+	adaptive->cold_until = now + left;
+	/* An owner without a slot counts its rise from here. */
+	adaptive->risen = adaptive->cold_until;
+}
+
 /* At most once per round trip: not by what was taken before the last time. */
 static void lower(adaptive_t *adaptive, double factor, mc_ms_t latency,
 		  mc_ms_t now)
@@ -200,7 +215,8 @@
 	double elapsed = (double)(now - adaptive->risen);
 	double gain = fmin(ramp_rate(adaptive) * elapsed, 1);
 
-	if (gain <= 0 || now < adaptive->rest_until)
+	if (gain <= 0 || now < adaptive->rest_until ||
+	    now < adaptive->cold_until)
 		return;
 	base->whole = fmin(base->whole + gain, base->params.initial);
 	base->ramping = base->whole < base->params.initial;
@@ -298,6 +314,7 @@
 		.owned = adaptive_owned,
 		.started = adaptive_started,
 		.hint = adaptive_hint,
+		.cold = adaptive_cold,
 		.given = adaptive_given,
 	};
 	adaptive_t *adaptive =
--- a/src/limit/include/mc/limit.h
+++ b/src/limit/include/mc/limit.h
@@ -81,6 +81,18 @@
 /** mc_limiter_hint() - the target's own load report, in [0, 1]; only a hint */
 void mc_limiter_hint(mc_limiter_t *limiter, double load, mc_ms_t now);
 
+/**
+ * mc_limiter_cold() - the target says how much longer it is cold
+ * @limiter: the limiter
+ * @left: ms; 0 or less when it is warm
+ * @now: ms
+ *
+ * Until then the whole target gets one sub-query at a time: owners don't see
+ * each other's, and a load report does not tell what a cold target bears. The
+ * ramp begins after that.
+ */
+void mc_limiter_cold(mc_limiter_t *limiter, mc_ms_t left, mc_ms_t now);
+
 /**
  * mc_limiter_take() - ask to send one sub-query now
  *
--- a/src/limit/limiter.c
+++ b/src/limit/limiter.c
@@ -71,6 +71,12 @@
 		limiter->ops->hint(limiter, load, now);
 }
 
+void mc_limiter_cold(mc_limiter_t *limiter, mc_ms_t left, mc_ms_t now)
+{
+	if (limiter->ops->cold)
+		limiter->ops->cold(limiter, left, now);
+}
+
 bool mc_limiter_take(mc_limiter_t *limiter, mc_ms_t now)
 {
 	uint64_t share = mc_limiter_share(limiter, now);
--- a/src/limit/limiter.h
+++ b/src/limit/limiter.h
@@ -20,6 +20,7 @@
  * @owned: this instance became an owner anew
  * @started: as mc_limiter_started()
  * @hint: as mc_limiter_hint()
+ * @cold: as mc_limiter_cold()
  * @given: as mc_limiter_give(); the sub-query still counts as in flight
  */
 typedef struct mc_limiter_ops_t {
@@ -27,6 +28,7 @@
 	void (*owned)(mc_limiter_t *limiter, mc_ms_t now);
 	bool (*started)(mc_limiter_t *limiter, uint64_t start_id, mc_ms_t now);
 	void (*hint)(mc_limiter_t *limiter, double load, mc_ms_t now);
+	void (*cold)(mc_limiter_t *limiter, mc_ms_t left, mc_ms_t now);
 	bool (*given)(mc_limiter_t *limiter, mc_limit_outcome_t outcome,
 		      mc_ms_t latency, mc_ms_t now);
 } mc_limiter_ops_t;
--- a/standins/standin_target.c
+++ b/standins/standin_target.c
@@ -159,10 +159,14 @@
 
 static json_t *report(const target_t *target)
 {
-	return json_pack("{ss ss sb sf sO}", "start", target->start, "version",
-			 target->behaviour.version, "draining",
+	int64_t cold = target->cold_until - standin_now_us();
+
+	return json_pack("{ss ss sb sf sI sO}", "start", target->start,
+			 "version", target->behaviour.version, "draining",
 			 (int)target->behaviour.draining, "load",
-			 target_load(target), "snapshots", target->snapshots);
+			 target_load(target), "cold_ms",
+			 (json_int_t)(cold > 0 ? cold / STANDIN_US_PER_MS : 0),
+			 "snapshots", target->snapshots);
 }
 
 /*
--- a/tests/unit/limit_test.c
+++ b/tests/unit/limit_test.c
@@ -164,6 +164,46 @@
 	mc_limiter_destroy(limiter);
 }
 
+/*
+ * A target that says it is cold gets one sub-query at a time from all owners
+ * together, whatever it answers, and the ramp begins when it is warm.
+ */
+static void test_told_cold(void **state)
+{
+	const mc_limit_params_t params = {
+		.initial = 16,
+		.max = 64,
+		.ramp = true,
+		.ramp_min = 1000,
+	};
+	mc_limiter_t *owners[2];
+	mc_ms_t now = 5000;
+	uint32_t i;
+
+	(void)state;
+	for (i = 0; i < 2; i++) {
+		owners[i] = mc_limit_policy("adaptive")->create(&params, 0);
+		mc_limiter_owners(owners[i], i, 2, 0);
+		mc_limiter_started(owners[i], 1, now);
+		mc_limiter_cold(owners[i], 3000, now);
+	}
+	for (; now < 8000; now += 10) {
+		assert_int_equal(mc_limiter_share(owners[0], now) +
+					 mc_limiter_share(owners[1], now),
+				 1);
+		assert_true(mc_limiter_take(owners[0], now));
+		mc_limiter_give(owners[0], MC_LIMIT_ANSWERED, 5, now + 5);
+	}
+	for (; now < 9000; now += 10)
+		if (mc_limiter_take(owners[0], now))
+			mc_limiter_give(owners[0], MC_LIMIT_ANSWERED, 5,
+					now + 5);
+	assert_true(mc_limiter_share(owners[0], now) > 1);
+	assert_true(mc_limiter_share(owners[1], now) > 0);
+	for (i = 0; i < 2; i++)
+		mc_limiter_destroy(owners[i]);
+}
+
 static void test_hint(void **state)
 {
 	mc_limiter_t *limiter = create_owned("adaptive", false);
@@ -257,6 +297,7 @@
 		cmocka_unit_test(test_adaptive),
 		cmocka_unit_test(test_cold_without_warning),
 		cmocka_unit_test(test_rank_without_slot),
+		cmocka_unit_test(test_told_cold),
 		cmocka_unit_test(test_hint),
 		cmocka_unit_test(test_admission),
 		cmocka_unit_test(test_admission_none),
