Libraries for a front end that faces targets by itself

Cause: the users' platform has targets that register themselves, HTTP on both sides of the data path and no place for a second process per instance; libcurl repeats requests by itself and libmicrohttpd hides a caller's close. Ruled out: driving both libraries around this; a process that keeps its own life beside that of front and gather. Change: h1 (HTTP/1.1 connections over a packaged parser), map (routes), fleet (targets, worlds), follow (list and watch of a source), replica (health and choice), pace, records; the life of a process moves from process to host, which front and gather use as before.

--- /dev/null
+++ b/src/answer/records.c
@@ -0,0 +1,130 @@
+/*
+ * The rows form a heap whose root is the least record kept, so that most
+ * records of a part are compared once.
+ */
+#include "mc/records.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+enum {
+	ROWS_AT_FIRST = 32,
+};
+
+static int compare(const void *a, const void *b)
+{
+	return memcmp(a, b, MC_RECORD_SIZE);
+}
+
+static void swap(mc_records_t *records, uint32_t a, uint32_t b)
+{
+	unsigned char row[MC_RECORD_SIZE];
+
+	memcpy(row, records->rows[a], MC_RECORD_SIZE);
+	memcpy(records->rows[a], records->rows[b], MC_RECORD_SIZE);
+	memcpy(records->rows[b], row, MC_RECORD_SIZE);
+}
+
+static void sift_up(mc_records_t *records, uint32_t i)
+{
+	while (i && compare(records->rows[i], records->rows[(i - 1) / 2]) < 0) {
+		swap(records, i, (i - 1) / 2);
+		i = (i - 1) / 2;
+	}
+}
+
+static void sift_down(mc_records_t *records)
+{
+	uint32_t i = 0, least, child;
+
+	for (;;) {
+		least = i;
+		for (child = 2 * i + 1; child <= 2 * i + 2; child++)
+			if (child < records->count &&
+			    compare(records->rows[child],
+				    records->rows[least]) < 0)
+				least = child;
+		if (least == i)
+			return;
+		swap(records, i, least);
+		i = least;
+	}
+}
+
+static mc_err_t make_room(mc_records_t *records)
+{
+	uint32_t capacity =
+		records->capacity ? records->capacity * 2 : ROWS_AT_FIRST;
+	void *rows;
+
+	if (records->count < records->capacity)
+		return MC_OK;
+	rows = realloc(records->rows, (size_t)capacity * MC_RECORD_SIZE);
+	if (!rows)
+		return mc_fail(MC_ERR_NO_MEMORY, "no memory for %u records",
+			       capacity);
+	records->rows = rows;
+	records->capacity = capacity;
+	return MC_OK;
+}
+
+mc_err_t mc_records_add(mc_records_t *records, const char *data, size_t size)
+{
+	mc_err_t err;
+
+	for (; size >= MC_RECORD_SIZE;
+	     data += MC_RECORD_SIZE, size -= MC_RECORD_SIZE) {
+		if (records->count == records->max) {
+			if (!records->max ||
+			    compare(data, records->rows[0]) <= 0)
+				continue;
+			memcpy(records->rows[0], data, MC_RECORD_SIZE);
+			sift_down(records);
+			continue;
+		}
+		err = make_room(records);
+		if (err)
+			return err;
+		memcpy(records->rows[records->count], data, MC_RECORD_SIZE);
+		sift_up(records, records->count++);
+	}
+	return MC_OK;
+}
+
+static int compare_falling(const void *a, const void *b)
+{
+	return compare(b, a);
+}
+
+void mc_records_sort(mc_records_t *records)
+{
+	if (records->count)
+		qsort(records->rows, records->count, MC_RECORD_SIZE,
+		      compare_falling);
+}
+
+void mc_records_free(mc_records_t *records)
+{
+	free(records->rows);
+	records->rows = NULL;
+	records->count = 0;
+	records->capacity = 0;
+}
+
+mc_due_t mc_records_due(const mc_coming_t *coming, bool past_goal,
+			bool past_end)
+{
+	double total = coming->total;
+	bool enough = coming->in && coming->in / total >= coming->coverage_min;
+	bool reachable =
+		(coming->total - coming->out) / total >= coming->coverage_min &&
+		coming->total > coming->out;
+
+	if (!reachable)
+		return MC_DUE_FAIL;
+	if (coming->in + coming->out == coming->total)
+		return MC_DUE_ANSWER;
+	if (enough && (past_goal || past_end))
+		return MC_DUE_ANSWER;
+	return past_end ? MC_DUE_FAIL : MC_DUE_WAIT;
+}
--- /dev/null
+++ b/src/follow/follow.c
@@ -0,0 +1,268 @@
+/*
+ * List, then watch, for each kind of records; tries again after failures, and
+ * publishes what has changed at the end of a turn of the loop.
+ */
+#include "follow_private.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum {
+	/*
+	 * One watch waits so long, ms. A connection that has gone silent is
+	 * noticed after this and the time that the store has for an answer.
+	 */
+	WATCH_MS = 4000,
+	/* Tries after failures: first and longest pause, ms. */
+	PAUSE_MIN_MS = 100,
+	PAUSE_MAX_MS = 1000,
+	PAUSE_DOUBLINGS = 4,
+};
+
+static const char *const kind_names[] = {
+	[MC_SOURCE_MAP] = "map",
+	[MC_SOURCE_TARGETS] = "targets",
+	[MC_SOURCE_OUT] = "out",
+	[MC_SOURCE_INSTANCES] = "instances",
+};
+
+static void go_on(mc_shard_t *shard, void *arg);
+static void announce(mc_shard_t *shard, void *arg);
+
+static mc_ms_t pause_after(mc_follow_t *follow, uint32_t failures)
+{
+	uint32_t doublings =
+		failures < PAUSE_DOUBLINGS ? failures : PAUSE_DOUBLINGS;
+	mc_ms_t pause = (mc_ms_t)PAUSE_MIN_MS << doublings;
+
+	if (pause > PAUSE_MAX_MS)
+		pause = PAUSE_MAX_MS;
+	return pause / 2 +
+	       mc_random_below(mc_shard_random(follow->params.shard),
+			       (uint32_t)pause / 2);
+}
+
+static void set_timer(mc_follow_t *follow, mc_ms_t pause, mc_timer_fn_t fire,
+		      void *arg, mc_handle_t *timer)
+{
+	mc_shard_t *shard = follow->params.shard;
+
+	mc_timer_cancel(shard, *timer);
+	if (mc_timer_set(shard, mc_shard_now(shard) + pause, fire, arg, timer))
+		mc_log(mc_shard_log(shard), MC_LOG_ERROR, "follow",
+		       "no timer: %s", mc_last_message());
+}
+
+static void publish(mc_shard_t *shard, void *arg)
+{
+	mc_follow_t *follow = arg;
+	const mc_world_t *world;
+	mc_ms_t now = mc_shard_now(shard);
+	mc_ms_t next;
+
+	follow->publish_due = false;
+	if (mc_fleet_tick(follow->fleet, now, &next)) {
+		world = mc_fleet_world(follow->fleet);
+		if (world)
+			follow->params.publish(follow->params.ctx, world);
+		else
+			next = now + PAUSE_MAX_MS;
+	}
+	if (next != MC_MS_NEVER)
+		set_timer(follow, next > now ? next - now : 1, publish, follow,
+			  &follow->tick);
+}
+
+void follow_changed(mc_follow_t *follow)
+{
+	if (follow->publish_due)
+		return;
+	follow->publish_due = true;
+	if (mc_shard_defer(follow->params.shard, publish, follow))
+		follow->publish_due = false;
+}
+
+/* The store is lost or back: one line, whatever the number of calls. */
+static void note_store(mc_follow_t *follow, mc_err_t err)
+{
+	bool lost = err == MC_ERR_STORE_UNAVAILABLE;
+
+	if (lost)
+		mc_count(mc_shard_counters(follow->params.shard),
+			 MC_COUNTER_STORE_FAILURES, 1);
+	if (lost == follow->store_lost)
+		return;
+	follow->store_lost = lost;
+	if (lost)
+		mc_log(mc_shard_log(follow->params.shard), MC_LOG_WARNING,
+		       "follow", "store is lost map=%llu reason=\"%s\"",
+		       (unsigned long long)mc_fleet_version(follow->fleet),
+		       mc_last_message());
+	else
+		mc_log(mc_shard_log(follow->params.shard), MC_LOG_NOTICE,
+		       "follow", "store is back map=%llu",
+		       (unsigned long long)mc_fleet_version(follow->fleet));
+}
+
+static void failed(kind_t *kind)
+{
+	mc_follow_t *follow = kind->follow;
+
+	set_timer(follow, pause_after(follow, kind->failures++), go_on, kind,
+		  &kind->timer);
+}
+
+static void took_watch(kind_t *kind, const mc_source_result_t *result)
+{
+	if (result->err == MC_ERR_HISTORY_GONE) {
+		mc_log(mc_shard_log(kind->follow->params.shard), MC_LOG_NOTICE,
+		       "follow",
+		       "history is gone, list anew kind=%s above=%llu",
+		       kind_names[kind->kind],
+		       (unsigned long long)kind->revision);
+		kind->watching = false;
+		kind->strict = true;
+		kind->after[0] = '\0';
+		return;
+	}
+	follow_take(kind->follow, kind->kind, result);
+	if (result->revision > kind->revision)
+		kind->revision = result->revision;
+}
+
+static void took_list(kind_t *kind, const mc_source_result_t *result)
+{
+	const mc_source_record_t *last;
+
+	if (!kind->after[0]) {
+		kind->list_revision = result->revision;
+		follow_list_begin(kind->follow, kind->kind);
+	}
+	follow_take(kind->follow, kind->kind, result);
+	if (result->more && result->record_count) {
+		last = &result->records[result->record_count - 1];
+		snprintf(kind->after, sizeof(kind->after), "%s", last->name);
+		return;
+	}
+	follow_list_end(kind->follow, kind->kind);
+	/* Changes while the pages were read come with the watch. */
+	kind->revision = kind->list_revision;
+	kind->watching = true;
+	kind->listed = true;
+	kind->after[0] = '\0';
+}
+
+static void took(void *ctx, const mc_source_result_t *result)
+{
+	kind_t *kind = ctx;
+
+	note_store(kind->follow, result->err);
+	if (result->err && result->err != MC_ERR_HISTORY_GONE) {
+		failed(kind);
+		return;
+	}
+	kind->failures = 0;
+	if (kind->watching)
+		took_watch(kind, result);
+	else
+		took_list(kind, result);
+	follow_changed(kind->follow);
+	go_on(kind->follow->params.shard, kind);
+}
+
+static void go_on(mc_shard_t *shard, void *arg)
+{
+	kind_t *kind = arg;
+	mc_follow_t *follow = kind->follow;
+	const mc_source_ops_t *ops = follow->params.source;
+	mc_err_t err;
+
+	mc_count(mc_shard_counters(shard), MC_COUNTER_STORE_CALLS, 1);
+	if (kind->watching)
+		err = ops->watch(follow->source, kind->kind, kind->revision,
+				 WATCH_MS, took, kind);
+	else
+		err = ops->list(follow->source, kind->kind, kind->after,
+				!kind->strict, took, kind);
+	if (err)
+		failed(kind);
+}
+
+static void announced(void *ctx, const mc_source_result_t *result)
+{
+	mc_follow_t *follow = ctx;
+	mc_handle_t timer = MC_HANDLE_NONE;
+
+	note_store(follow, result->err);
+	if (!result->err || result->err == MC_ERR_CONFLICT)
+		return;
+	set_timer(follow, pause_after(follow, follow->announce_failures++),
+		  announce, follow, &timer);
+}
+
+static void announce(mc_shard_t *shard, void *arg)
+{
+	mc_follow_t *follow = arg;
+	mc_handle_t timer = MC_HANDLE_NONE;
+
+	mc_count(mc_shard_counters(shard), MC_COUNTER_STORE_CALLS, 1);
+	if (follow->params.source->announce(
+		    follow->source, follow->params.instance,
+		    follow->params.data_center, announced, follow))
+		set_timer(follow, PAUSE_MAX_MS, announce, follow, &timer);
+}
+
+static void begin(mc_shard_t *shard, void *arg)
+{
+	mc_follow_t *follow = arg;
+	uint32_t i;
+
+	announce(shard, follow);
+	for (i = 0; i < MC_SOURCE_KINDS; i++)
+		go_on(shard, &follow->kinds[i]);
+}
+
+static mc_err_t create_parts(mc_follow_t *follow)
+{
+	const mc_follow_params_t *params = &follow->params;
+	uint32_t i;
+
+	follow->fleet = mc_fleet_create();
+	follow->source = params->source->create(params->shard, params->address);
+	if (!follow->fleet || !follow->source ||
+	    apr_pool_create(&follow->pool, NULL))
+		return mc_fail(MC_ERR_NO_MEMORY, "no memory to follow a store");
+	follow->instances = apr_hash_make(follow->pool);
+	for (i = 0; i < MC_SOURCE_KINDS; i++)
+		follow->kinds[i] = (kind_t){
+			.follow = follow,
+			.kind = (mc_source_kind_t)i,
+		};
+	return mc_shard_defer(params->shard, begin, follow);
+}
+
+mc_follow_t *mc_follow_create(const mc_follow_params_t *params)
+{
+	mc_follow_t *follow = calloc(1, sizeof(*follow));
+
+	if (!follow)
+		return NULL;
+	follow->params = *params;
+	if (create_parts(follow)) {
+		mc_follow_destroy(follow);
+		return NULL;
+	}
+	return follow;
+}
+
+void mc_follow_destroy(mc_follow_t *follow)
+{
+	if (!follow)
+		return;
+	follow->params.source->destroy(follow->source);
+	mc_fleet_destroy(follow->fleet);
+	if (follow->pool)
+		apr_pool_destroy(follow->pool);
+	free(follow);
+}
--- /dev/null
+++ b/src/follow/include/mc/follow.h
@@ -0,0 +1,41 @@
+/*
+ * Public header of the follow library: keeps a fleet up to date from a source,
+ * on a process's control shard, and publishes a world when it changes. Each
+ * kind of record is listed once and then watched; with the store away the last
+ * world stays.
+ */
+#ifndef MC_FOLLOW_H
+#define MC_FOLLOW_H
+
+#include "mc/net.h"
+#include "mc/source.h"
+
+typedef struct mc_follow_t mc_follow_t;
+
+/**
+ * struct mc_follow_params_t - what it works with
+ * @shard: the control shard
+ * @source: functions to reach the store
+ * @address: "IP:port" of the store
+ * @instance: name of this instance
+ * @data_center: its data centre
+ * @publish: a new world, the receiver's to unref; on the control shard
+ * @ctx: passed to @publish
+ */
+typedef struct mc_follow_params_t {
+	mc_shard_t *shard;
+	const mc_source_ops_t *source;
+	const char *address;
+	const char *instance;
+	const char *data_center;
+	void (*publish)(void *ctx, const mc_world_t *world);
+	void *ctx;
+} mc_follow_params_t;
+
+/** mc_follow_create() - begins when the shard runs; NULL without memory */
+mc_follow_t *mc_follow_create(const mc_follow_params_t *params);
+
+/** mc_follow_destroy() - NULL is allowed */
+void mc_follow_destroy(mc_follow_t *follow);
+
+#endif
--- /dev/null
+++ b/src/follow/include/mc/source.h
@@ -0,0 +1,91 @@
+/*
+ * Where a process learns what it believes: a store that holds records of
+ * several kinds, read by list and watch. A platform's adapter fills in the
+ * table of functions and decodes each record into a type of the project's own.
+ */
+#ifndef MC_SOURCE_H
+#define MC_SOURCE_H
+
+#include "mc/fleet.h"
+
+/** enum mc_source_kind_t - kinds of records */
+typedef enum mc_source_kind_t {
+	/* The operators' map. */
+	MC_SOURCE_MAP,
+	/* Entries of targets. */
+	MC_SOURCE_TARGETS,
+	/* Data centres that are out, by name. */
+	MC_SOURCE_OUT,
+	/* Instances of the system, by name. */
+	MC_SOURCE_INSTANCES,
+	MC_SOURCE_KINDS
+} mc_source_kind_t;
+
+/**
+ * struct mc_source_record_t - a record
+ * @name: its name within the kind
+ * @removed: it is gone; only @name is set
+ * @fault: why it can't be read; NULL when it could be
+ * @map: MC_SOURCE_MAP: the map; the receiver refs what it keeps
+ * @target: MC_SOURCE_TARGETS: the entry
+ */
+typedef struct mc_source_record_t {
+	const char *name;
+	bool removed;
+	const char *fault;
+	const mc_map_t *map;
+	mc_target_entry_t target;
+} mc_source_record_t;
+
+/**
+ * struct mc_source_result_t - how a call ended
+ * @err: MC_OK; MC_ERR_HISTORY_GONE (watch: list anew); MC_ERR_CONFLICT
+ *	(announce: it is there already); MC_ERR_STORE_UNAVAILABLE, with a last
+ *	message
+ * @revision: the store's revision that the records show
+ * @more: a list goes on behind the last record's name
+ * @record_count: number of @records
+ * @records: valid during the call
+ */
+typedef struct mc_source_result_t {
+	mc_err_t err;
+	uint64_t revision;
+	bool more;
+	uint32_t record_count;
+	const mc_source_record_t *records;
+} mc_source_result_t;
+
+/** mc_source_done_fn_t - called once per call that returned MC_OK */
+typedef void (*mc_source_done_fn_t)(void *ctx,
+				    const mc_source_result_t *result);
+
+typedef struct mc_source_t mc_source_t;
+
+/**
+ * struct mc_source_ops_t - a way to reach a store
+ *
+ * Calls return MC_OK, or MC_ERR_FULL or MC_ERR_NO_MEMORY, after which the
+ * handler is not called.
+ *
+ * @create: a client whose calls run on @shard; NULL without memory
+ * @destroy: cancel open calls and free; NULL is allowed
+ * @list: records behind the name @after; "" for the first ones. @cheap: they
+ *	may be seconds old
+ * @watch: wait until records have changed after @above, at most @wait ms
+ * @announce: create the record of instance @name of @data_center
+ */
+typedef struct mc_source_ops_t {
+	mc_source_t *(*create)(mc_shard_t *shard, const char *address);
+	void (*destroy)(mc_source_t *source);
+	mc_err_t (*list)(mc_source_t *source, mc_source_kind_t kind,
+			 const char *after, bool cheap,
+			 mc_source_done_fn_t done, void *ctx);
+	mc_err_t (*watch)(mc_source_t *source, mc_source_kind_t kind,
+			  uint64_t above, mc_ms_t wait,
+			  mc_source_done_fn_t done, void *ctx);
+	mc_err_t (*announce)(mc_source_t *source, const char *name,
+			     const char *data_center, mc_source_done_fn_t done,
+			     void *ctx);
+} mc_source_ops_t;
+
+#endif
--- /dev/null
+++ b/src/follow/records.c
@@ -0,0 +1,123 @@
+/*
+ * What records of each kind do to the fleet.
+ */
+#include "follow_private.h"
+
+#include <apr_strings.h>
+#include <string.h>
+
+static void log_fault(mc_follow_t *follow, const char *what,
+		      const mc_source_record_t *record)
+{
+	mc_log(mc_shard_log(follow->params.shard), MC_LOG_WARNING, "follow",
+	       "record is ignored kind=%s name=%s reason=\"%s\"", what,
+	       record->name, record->fault);
+}
+
+static void take_map(mc_follow_t *follow, const mc_source_record_t *record)
+{
+	uint64_t known = mc_fleet_version(follow->fleet);
+	uint64_t version;
+
+	if (record->removed)
+		return;
+	if (record->fault) {
+		log_fault(follow, "map", record);
+		return;
+	}
+	version = mc_map_version(record->map);
+	if (version <= known) {
+		if (version < known)
+			mc_count(mc_shard_counters(follow->params.shard),
+				 MC_COUNTER_CONFIG_STALE, 1);
+		return;
+	}
+	mc_fleet_map(follow->fleet, mc_map_ref(record->map));
+	mc_count(mc_shard_counters(follow->params.shard),
+		 MC_COUNTER_CONFIG_CHANGES, 1);
+	mc_log(mc_shard_log(follow->params.shard), MC_LOG_NOTICE, "follow",
+	       "map in force version=%llu former=%llu routes=%u services=%u",
+	       (unsigned long long)version, (unsigned long long)known,
+	       mc_map_route_count(record->map),
+	       mc_map_service_count(record->map));
+}
+
+static void take_target(mc_follow_t *follow, const mc_source_record_t *record)
+{
+	const mc_target_entry_t *entry = &record->target;
+	mc_ms_t now = mc_shard_now(follow->params.shard);
+
+	if (record->removed || record->fault) {
+		if (record->fault)
+			log_fault(follow, "target", record);
+		mc_fleet_drop(follow->fleet, record->name, now);
+		mc_log(mc_shard_log(follow->params.shard), MC_LOG_INFO,
+		       "follow", "target's entry is gone target=%s",
+		       record->name);
+		return;
+	}
+	if (mc_fleet_put(follow->fleet, entry, now))
+		mc_log(mc_shard_log(follow->params.shard), MC_LOG_ERROR,
+		       "follow", "target is ignored: %s", mc_last_message());
+	mc_log(mc_shard_log(follow->params.shard), MC_LOG_INFO, "follow",
+	       "target's entry target=%s service=%s address=%s draining=%d "
+	       "cold_ms=%lld started=%lld",
+	       entry->id, entry->service, entry->address, entry->draining,
+	       (long long)entry->cold_left, (long long)entry->started);
+}
+
+static void take_out(mc_follow_t *follow, const mc_source_record_t *record)
+{
+	mc_fleet_out(follow->fleet, record->name, !record->removed);
+	mc_log(mc_shard_log(follow->params.shard), MC_LOG_NOTICE, "follow",
+	       "data centre is %s data_center=%s",
+	       record->removed ? "in again" : "out", record->name);
+}
+
+static void take_instance(mc_follow_t *follow, const mc_source_record_t *record)
+{
+	const void *known = apr_hash_get(follow->instances, record->name,
+					 APR_HASH_KEY_STRING);
+
+	if (record->removed)
+		apr_hash_set(follow->instances, record->name,
+			     APR_HASH_KEY_STRING, NULL);
+	else if (!known)
+		apr_hash_set(follow->instances,
+			     apr_pstrdup(follow->pool, record->name),
+			     APR_HASH_KEY_STRING, follow);
+	mc_fleet_instances(follow->fleet, apr_hash_count(follow->instances));
+}
+
+void follow_take(mc_follow_t *follow, mc_source_kind_t kind,
+		 const mc_source_result_t *result)
+{
+	static void (*const take[])(mc_follow_t *,
+				    const mc_source_record_t *) = {
+		[MC_SOURCE_MAP] = take_map,
+		[MC_SOURCE_TARGETS] = take_target,
+		[MC_SOURCE_OUT] = take_out,
+		[MC_SOURCE_INSTANCES] = take_instance,
+	};
+	uint32_t i;
+
+	for (i = 0; i < result->record_count; i++)
+		take[kind](follow, &result->records[i]);
+}
+
+void follow_list_begin(mc_follow_t *follow, mc_source_kind_t kind)
+{
+	if (kind == MC_SOURCE_TARGETS)
+		mc_fleet_list_begin(follow->fleet);
+	else if (kind == MC_SOURCE_OUT)
+		mc_fleet_out_none(follow->fleet);
+	else if (kind == MC_SOURCE_INSTANCES)
+		apr_hash_clear(follow->instances);
+}
+
+void follow_list_end(mc_follow_t *follow, mc_source_kind_t kind)
+{
+	if (kind == MC_SOURCE_TARGETS)
+		mc_fleet_list_end(follow->fleet,
+				  mc_shard_now(follow->params.shard));
+}
--- /dev/null
+++ b/src/limit/pace.c
@@ -0,0 +1,33 @@
+/*
+ * One token a request; at most one is saved up, so that no second sees more
+ * than the rate and one.
+ */
+#include "mc/pace.h"
+
+#include <math.h>
+
+enum {
+	MS_PER_S = 1000,
+	/* Without a rate nothing leaves; asked again after this, ms. */
+	NO_RATE_WAIT_MS = 1000,
+};
+
+mc_ms_t mc_pace_wait(mc_pace_t *pace, double rate, mc_ms_t now)
+{
+	double gained = (double)(now - pace->at) * rate / MS_PER_S;
+
+	if (now > pace->at) {
+		pace->tokens = fmin(pace->tokens + gained, 1);
+		pace->at = now;
+	}
+	if (pace->tokens >= 1)
+		return 0;
+	if (rate <= 0)
+		return NO_RATE_WAIT_MS;
+	return (mc_ms_t)ceil((1 - pace->tokens) * MS_PER_S / rate);
+}
+
+void mc_pace_take(mc_pace_t *pace)
+{
+	pace->tokens -= 1;
+}
--- /dev/null
+++ b/src/map/map.c
@@ -0,0 +1,300 @@
+/*
+ * Maps: rows in arrays, strings in the map's pool, routes sorted by host and
+ * then from the longest prefix to the shortest, so that the first match is the
+ * route.
+ */
+#include "mc/map.h"
+
+#include <apr_hash.h>
+#include <apr_pools.h>
+#include <apr_strings.h>
+#include <apr_tables.h>
+#include <ctype.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum {
+	HOST_SIZE = 256,
+	ROWS_AT_FIRST = 16,
+};
+
+struct mc_map_t {
+	apr_pool_t *pool;
+	uint32_t refs;
+	uint64_t version;
+	mc_map_limits_t limits;
+	apr_array_header_t *routes;
+	apr_array_header_t *services;
+	apr_array_header_t *members;
+	/* Rows of services by name, plus one. */
+	apr_hash_t *service_rows;
+};
+
+mc_map_t *mc_map_create(uint64_t version)
+{
+	mc_map_t *map = calloc(1, sizeof(*map));
+
+	if (!map || apr_pool_create(&map->pool, NULL)) {
+		free(map);
+		return NULL;
+	}
+	map->refs = 1;
+	map->version = version;
+	map->routes = apr_array_make(map->pool, ROWS_AT_FIRST,
+				     sizeof(mc_map_route_t));
+	map->services = apr_array_make(map->pool, ROWS_AT_FIRST,
+				       sizeof(mc_map_service_t));
+	map->members = apr_array_make(map->pool, ROWS_AT_FIRST,
+				      sizeof(mc_map_member_t));
+	map->service_rows = apr_hash_make(map->pool);
+	return map;
+}
+
+const mc_map_t *mc_map_ref(const mc_map_t *map)
+{
+	__atomic_fetch_add(&((mc_map_t *)map)->refs, 1, __ATOMIC_RELAXED);
+	return map;
+}
+
+void mc_map_unref(const mc_map_t *map)
+{
+	mc_map_t *own = (mc_map_t *)map;
+
+	if (!map || __atomic_sub_fetch(&own->refs, 1, __ATOMIC_ACQ_REL))
+		return;
+	apr_pool_destroy(own->pool);
+	free(own);
+}
+
+mc_err_t mc_map_add_service(mc_map_t *map, const mc_map_service_t *service)
+{
+	mc_map_service_t *row;
+	uintptr_t number;
+
+	if (!service->name || !*service->name)
+		return mc_fail(MC_ERR_BAD_CONFIG, "a service has no name");
+	if (apr_hash_get(map->service_rows, service->name, APR_HASH_KEY_STRING))
+		return mc_fail(MC_ERR_BAD_CONFIG, "service %s stands twice",
+			       service->name);
+	if (map->services->nelts >= MC_MAP_SERVICES_MAX)
+		return mc_fail(MC_ERR_BAD_CONFIG, "more than %d services",
+			       MC_MAP_SERVICES_MAX);
+	row = apr_array_push(map->services);
+	*row = *service;
+	row->name = apr_pstrdup(map->pool, service->name);
+	number = (uintptr_t)map->services->nelts;
+	apr_hash_set(map->service_rows, row->name, APR_HASH_KEY_STRING,
+		     (const void *)number);
+	return MC_OK;
+}
+
+static mc_err_t check_route(const mc_map_route_t *route, uint32_t count)
+{
+	size_t size = route->prefix ? strlen(route->prefix) : 0;
+
+	if (!route->name || !route->host || !*route->host)
+		return mc_fail(MC_ERR_BAD_CONFIG,
+			       "a route has no name or host");
+	if (!size || route->prefix[0] != '/' || route->prefix[size - 1] != '/')
+		return mc_fail(MC_ERR_BAD_CONFIG,
+			       "route %s: prefix \"%s\": expected a slash at "
+			       "both ends",
+			       route->name, size ? route->prefix : "");
+	if (!count || count > MC_MAP_MEMBERS_MAX)
+		return mc_fail(MC_ERR_BAD_CONFIG,
+			       "route %s: %u services: expected 1 to %d",
+			       route->name, count, MC_MAP_MEMBERS_MAX);
+	if (route->timeout <= 0 || !route->tries_max)
+		return mc_fail(MC_ERR_BAD_CONFIG,
+			       "route %s: timeout and tries: expected above 0",
+			       route->name);
+	return MC_OK;
+}
+
+static mc_err_t add_member(mc_map_t *map, const char *route,
+			   const mc_map_pair_t *pair)
+{
+	mc_map_member_t *member;
+	uintptr_t number = (uintptr_t)apr_hash_get(
+		map->service_rows, pair->service, APR_HASH_KEY_STRING);
+
+	if (!number)
+		return mc_fail(MC_ERR_BAD_CONFIG,
+			       "route %s: service %s is not in the map", route,
+			       pair->service);
+	if (!(pair->weight >= 0))
+		return mc_fail(MC_ERR_BAD_CONFIG,
+			       "route %s: service %s: weight below 0", route,
+			       pair->service);
+	member = apr_array_push(map->members);
+	member->service = (uint32_t)number - 1;
+	member->weight = pair->weight;
+	return MC_OK;
+}
+
+mc_err_t mc_map_add_route(mc_map_t *map, const mc_map_route_t *route,
+			  const mc_map_pair_t *pairs, uint32_t count)
+{
+	uint32_t first = (uint32_t)map->members->nelts;
+	mc_err_t err = check_route(route, count);
+	mc_map_route_t *row;
+	char *host;
+	uint32_t i;
+
+	if (!err && map->routes->nelts >= MC_MAP_ROUTES_MAX)
+		err = mc_fail(MC_ERR_BAD_CONFIG, "more than %d routes",
+			      MC_MAP_ROUTES_MAX);
+	for (i = 0; !err && i < count; i++)
+		err = add_member(map, route->name, &pairs[i]);
+	if (err)
+		return err;
+	row = apr_array_push(map->routes);
+	*row = *route;
+	row->name = apr_pstrdup(map->pool, route->name);
+	row->prefix = apr_pstrdup(map->pool, route->prefix);
+	host = apr_pstrdup(map->pool, route->host);
+	row->host = host;
+	for (; *host; host++)
+		*host = (char)tolower((unsigned char)*host);
+	row->first = first;
+	row->count = count;
+	return MC_OK;
+}
+
+void mc_map_set_limits(mc_map_t *map, const mc_map_limits_t *limits)
+{
+	map->limits = *limits;
+}
+
+static int compare_routes(const void *a, const void *b)
+{
+	const mc_map_route_t *x = a, *y = b;
+	int order = strcmp(x->host, y->host);
+	size_t x_size = strlen(x->prefix), y_size = strlen(y->prefix);
+
+	if (order)
+		return order;
+	if (x_size != y_size)
+		return x_size > y_size ? -1 : 1;
+	return strcmp(x->prefix, y->prefix);
+}
+
+mc_err_t mc_map_finish(mc_map_t *map)
+{
+	const mc_map_route_t *routes = (mc_map_route_t *)map->routes->elts;
+	int i;
+
+	qsort(map->routes->elts, (size_t)map->routes->nelts,
+	      sizeof(mc_map_route_t), compare_routes);
+	for (i = 1; i < map->routes->nelts; i++)
+		if (!compare_routes(&routes[i - 1], &routes[i]))
+			return mc_fail(MC_ERR_BAD_CONFIG,
+				       "routes %s and %s have the same prefix",
+				       routes[i - 1].name, routes[i].name);
+	return MC_OK;
+}
+
+uint64_t mc_map_version(const mc_map_t *map)
+{
+	return map->version;
+}
+
+const mc_map_limits_t *mc_map_limits(const mc_map_t *map)
+{
+	return &map->limits;
+}
+
+uint32_t mc_map_route_count(const mc_map_t *map)
+{
+	return (uint32_t)map->routes->nelts;
+}
+
+uint32_t mc_map_service_count(const mc_map_t *map)
+{
+	return (uint32_t)map->services->nelts;
+}
+
+const mc_map_service_t *mc_map_service(const mc_map_t *map, uint32_t row)
+{
+	return &((mc_map_service_t *)map->services->elts)[row];
+}
+
+const mc_map_member_t *mc_map_member(const mc_map_t *map,
+				     const mc_map_route_t *route,
+				     uint32_t index)
+{
+	return &((mc_map_member_t *)map->members->elts)[route->first + index];
+}
+
+/* The host alone, in lower case; false when it is too long to be one. */
+static bool bare_host(const char *host, char *bare)
+{
+	size_t i;
+
+	for (i = 0; host[i] && host[i] != ':'; i++) {
+		if (i == HOST_SIZE - 1)
+			return false;
+		bare[i] = (char)tolower((unsigned char)host[i]);
+	}
+	bare[i] = '\0';
+	return true;
+}
+
+/* First route whose host is not below @host. */
+static uint32_t first_of_host(const mc_map_t *map, const char *host)
+{
+	const mc_map_route_t *routes = (mc_map_route_t *)map->routes->elts;
+	uint32_t low = 0, high = (uint32_t)map->routes->nelts;
+
+	while (low < high) {
+		uint32_t middle = low + (high - low) / 2;
+
+		if (strcmp(routes[middle].host, host) < 0)
+			low = middle + 1;
+		else
+			high = middle;
+	}
+	return low;
+}
+
+const mc_map_route_t *mc_map_find(const mc_map_t *map, const char *host,
+				  const char *path)
+{
+	const mc_map_route_t *routes = (mc_map_route_t *)map->routes->elts;
+	size_t size = strcspn(path, "?#");
+	char bare[HOST_SIZE];
+	uint32_t i;
+
+	if (!bare_host(host, bare))
+		return NULL;
+	for (i = first_of_host(map, bare);
+	     i < (uint32_t)map->routes->nelts && !strcmp(routes[i].host, bare);
+	     i++) {
+		size_t prefix = strlen(routes[i].prefix);
+
+		if (prefix <= size && !memcmp(routes[i].prefix, path, prefix))
+			return &routes[i];
+	}
+	return NULL;
+}
+
+uint32_t mc_map_choose(const mc_map_t *map, const mc_map_route_t *route,
+		       double point)
+{
+	const mc_map_member_t *members = mc_map_member(map, route, 0);
+	double sum = 0;
+	uint32_t i, last = 0;
+
+	for (i = 0; i < route->count; i++)
+		sum += members[i].weight;
+	point *= sum;
+	for (i = 0; i < route->count; i++) {
+		if (members[i].weight <= 0)
+			continue;
+		last = i;
+		if (point < members[i].weight)
+			return i;
+		point -= members[i].weight;
+	}
+	return last;
+}
--- a/src/net/address.c
+++ b/src/net/address.c
@@ -111,3 +111,27 @@
 	close(*fd);
 	return MC_ERR_IO;
 }
+
+mc_err_t mc_socket_connect(const char *address, int *fd)
+{
+	address_t to;
+	mc_err_t err = address_parse(address, &to);
+
+	if (err)
+		return err;
+	*fd = socket(to.storage.ss_family,
+		     SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	if (*fd < 0)
+		return mc_fail(MC_ERR_IO, "socket: %s", strerror(errno));
+	if (!connect(*fd, (struct sockaddr *)&to.storage, to.size) ||
+	    errno == EINPROGRESS)
+		return MC_OK;
+	mc_fail(MC_ERR_IO, "connect to %s: %s", address, strerror(errno));
+	close(*fd);
+	return MC_ERR_IO;
+}
+
+void mc_socket_close(int fd)
+{
+	close(fd);
+}
--- a/src/net/include/mc/net.h
+++ b/src/net/include/mc/net.h
@@ -9,5 +9,6 @@
 #include "mc/net/http.h"
 #include "mc/net/link.h"
 #include "mc/net/shard.h"
+#include "mc/net/socket.h"
 
 #endif
--- a/src/net/link.c
+++ b/src/net/link.c
@@ -328,23 +328,11 @@
 			 const mc_link_events_t *events, void *ctx,
 			 mc_handle_t *handle)
 {
-	address_t to;
-	mc_err_t err = address_parse(address, &to);
 	int fd;
+	mc_err_t err = mc_socket_connect(address, &fd);
 
 	if (err)
 		return err;
-	fd = socket(to.storage.ss_family,
-		    SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-	if (fd < 0)
-		return mc_fail(MC_ERR_IO, "socket: %s", strerror(errno));
-	if (connect(fd, (struct sockaddr *)&to.storage, to.size) &&
-	    errno != EINPROGRESS) {
-		mc_fail(MC_ERR_IO, "connect to %s: %s", address,
-			strerror(errno));
-		close(fd);
-		return MC_ERR_IO;
-	}
 	err = add_link(shard, fd, true, events, ctx, handle);
 	if (err)
 		close(fd);
--- a/src/process/include/mc/process.h
+++ b/src/process/include/mc/process.h
@@ -1,12 +1,12 @@
 /*
  * Public header of the process library: what fronts and gathers have in
- * common. A process has a control shard with its node and a fixed number of
- * data shards, each with a state of the role's. It runs until SIGTERM or
- * SIGINT and then stops without cutting a request in flight.
+ * common beyond the life of a process: a node on the control shard, whose views
+ * reach the data shards.
  */
 #ifndef MC_PROCESS_H
 #define MC_PROCESS_H
 
+#include "mc/host.h"
 #include "mc/node.h"
 
 typedef struct mc_process_t mc_process_t;
--- /dev/null
+++ b/src/replica/include/mc/replica.h
@@ -0,0 +1,121 @@
+/*
+ * Public header of the replica library: what requests show of a target's
+ * health, and which of a service's targets gets the next request. Pure: times
+ * and events are passed in.
+ */
+#ifndef MC_REPLICA_H
+#define MC_REPLICA_H
+
+#include "mc/base.h"
+
+/** enum mc_replica_level_t - how far a target can be relied on */
+typedef enum mc_replica_level_t {
+	MC_REPLICA_GOOD,
+	/* It was out; one request may find out whether it is good again. */
+	MC_REPLICA_PROBE,
+	/* A request has waited long for its answer. */
+	MC_REPLICA_SILENT,
+	MC_REPLICA_OUT,
+} mc_replica_level_t;
+
+/** enum mc_replica_fault_t - ways in which a request fails by its target */
+typedef enum mc_replica_fault_t {
+	/* No connection could be made. */
+	MC_REPLICA_UNREACHABLE,
+	/* The connection broke, or what came was no answer. */
+	MC_REPLICA_BROKEN,
+	/* No answer came in a time in which others answer. */
+	MC_REPLICA_NO_ANSWER,
+	/* It answered that it failed. */
+	MC_REPLICA_ERROR,
+	/* Another target has its address. */
+	MC_REPLICA_REPLACED,
+} mc_replica_fault_t;
+
+/**
+ * struct mc_health_t - health of one target; zeroed at the start
+ * @slowness: smoothed ratio of its latency to its service's, less 1
+ * @failing: smoothed share of requests that failed
+ * @faults: faults in a row
+ * @out_time: how long it was taken out the last time, ms
+ * @out_until: it is out until then, ms
+ * @updated: when @slowness was last set, ms
+ */
+typedef struct mc_health_t {
+	double slowness;
+	double failing;
+	uint32_t faults;
+	mc_ms_t out_time;
+	mc_ms_t out_until;
+	mc_ms_t updated;
+} mc_health_t;
+
+/**
+ * mc_health_answered() - it answered after @latency, ms
+ * @usual: latency that is usual for this kind of request, ms; 0 if unknown
+ */
+void mc_health_answered(mc_health_t *health, mc_ms_t latency, double usual,
+			mc_ms_t now);
+
+/** mc_health_waited() - a request was given up after @waited ms; no fault */
+void mc_health_waited(mc_health_t *health, mc_ms_t waited, double usual,
+		      mc_ms_t now);
+
+/**
+ * mc_health_failed() - a request failed by its fault
+ *
+ * Return: true when it is taken out by this.
+ */
+bool mc_health_failed(mc_health_t *health, mc_replica_fault_t fault,
+		      mc_ms_t now);
+
+/** mc_health_probed() - a request goes to it while it is to be probed */
+void mc_health_probed(mc_health_t *health, mc_ms_t now);
+
+/**
+ * mc_health_level() - how far it can be relied on
+ * @oldest: how long its oldest request has waited, ms; 0 without one
+ * @usual: latency that is usual for its service's requests, ms
+ */
+mc_replica_level_t mc_health_level(const mc_health_t *health, mc_ms_t oldest,
+				   double usual, mc_ms_t now);
+
+/** mc_health_slowness() - ratio of its latency to the usual one, at least 1 */
+double mc_health_slowness(const mc_health_t *health, mc_ms_t now);
+
+/**
+ * struct mc_candidate_t - a target that could get a request
+ * @level: how far it can be relied on
+ * @room: it may get one more request now
+ * @leaving: it will be gone soon
+ * @local: it is in this instance's data centre
+ * @tried: this request was sent to it before
+ * @load: requests that it has, in units of those that it runs at a time
+ * @slowness: from mc_health_slowness()
+ */
+typedef struct mc_candidate_t {
+	mc_replica_level_t level;
+	bool room;
+	bool leaving;
+	bool local;
+	bool tried;
+	double load;
+	double slowness;
+} mc_candidate_t;
+
+/** MC_PICK_NONE - no target can get the request now */
+#define MC_PICK_NONE UINT32_MAX
+
+/**
+ * mc_replica_pick() - the target of a request
+ * @candidates: targets of the service
+ * @count: number of those
+ * @careful: the request may run only once, so it finds nothing out
+ * @random: breaks ties
+ *
+ * Return: index, or MC_PICK_NONE.
+ */
+uint32_t mc_replica_pick(const mc_candidate_t *candidates, uint32_t count,
+			 bool careful, mc_random_t *random);
+
+#endif
--- a/tests/system/harness.c
+++ b/tests/system/harness.c
@@ -2,7 +2,6 @@
  * Processes of a test are records of a table. Each has its own process group
  * and dies with the test program.
  */
-#define _GNU_SOURCE
 #include <arpa/inet.h>
 #include <fcntl.h>
 #include <setjmp.h>
