--- a/src/base/counter.c
+++ b/src/base/counter.c
@@ -90,3 +90,32 @@
 
 	return id < MC_COUNTER_COUNT ? texts[id] : "";
 }
+
+void mc_counters_print(const mc_counters_t *counters, FILE *out)
+{
+	static const char name[] = "mangocove_request_ms";
+	uint64_t seen = 0;
+	double bound = 1;
+	int i;
+
+	for (i = 0; i < MC_COUNTER_COUNT; i++)
+		fprintf(out,
+			"# HELP mangocove_%s_total %s\n"
+			"# TYPE mangocove_%s_total counter\n"
+			"mangocove_%s_total %llu\n",
+			mc_counter_name(i), mc_counter_help(i),
+			mc_counter_name(i), mc_counter_name(i),
+			(unsigned long long)counters->values[i]);
+	fprintf(out,
+		"# HELP %s time from a request's first byte to its answer\n"
+		"# TYPE %s histogram\n",
+		name, name);
+	for (i = 0; i < MC_LATENCY_BUCKETS; i++, bound *= bucket_ratio) {
+		seen += counters->latency[i];
+		if (counters->latency[i])
+			fprintf(out, "%s_bucket{le=\"%.0f\"} %llu\n", name,
+				floor(bound), (unsigned long long)seen);
+	}
+	fprintf(out, "%s_bucket{le=\"+Inf\"} %llu\n%s_count %llu\n", name,
+		(unsigned long long)seen, name, (unsigned long long)seen);
+}
--- a/src/follow/include/mc/source.h
+++ b/src/follow/include/mc/source.h
@@ -7,6 +7,7 @@
 #define MC_SOURCE_H
 
 #include "mc/fleet.h"
+#include "mc/net.h"
 
 /** enum mc_source_kind_t - kinds of records */
 typedef enum mc_source_kind_t {
--- a/src/main/main.c
+++ b/src/main/main.c
@@ -9,6 +9,7 @@
 static const command_t commands[] = {
 	{ "front", run_front, "serve callers" },
 	{ "gather", run_gather, "serve fronts, face targets" },
+	{ "tier", run_tier, "serve callers, face targets of a platform" },
 	{ "check", mc_cli_check, "check a configuration" },
 	{ "print", mc_cli_print, "print a configuration in canonical form" },
 	{ "submit", mc_cli_submit, "submit a configuration to the store" },
--- a/src/main/main_private.h
+++ b/src/main/main_private.h
@@ -16,4 +16,7 @@
 int run_front(int argc, char **argv);
 int run_gather(int argc, char **argv);
 
+/** run_tier() - the command "tier" */
+int run_tier(int argc, char **argv);
+
 #endif
--- a/src/main/run_role.c
+++ b/src/main/run_role.c
@@ -9,6 +9,8 @@
 #include "main_private.h"
 #include "mc/front.h"
 #include "mc/gather.h"
+#include "mc/platform.h"
+#include "mc/tier.h"
 
 enum {
 	EXIT_FAILED = 1,
@@ -44,7 +46,16 @@
 	return status;
 }
 
-static int run(const mc_role_ops_t *ops, const char *path, const char *level)
+/* A command that runs a role: its name, and how it runs. */
+typedef struct {
+	const char *name;
+	mc_role_t role;
+	int (*run)(const char *path, const mc_settings_t *settings,
+		   mc_log_t *log);
+} role_command_t;
+
+static int run(const role_command_t *command, const char *path,
+	       const char *level)
 {
 	mc_settings_t *settings = calloc(1, sizeof(*settings));
 	mc_log_t *log;
@@ -52,7 +63,7 @@
 
 	if (!settings)
 		return EXIT_FAILED;
-	status = read_settings(path, ops->role, settings);
+	status = read_settings(path, command->role, settings);
 	if (!status && level &&
 	    mc_log_level_parse(level, &settings->log_level)) {
 		fprintf(stderr, "mangocove: %s\n", mc_last_message());
@@ -65,13 +76,13 @@
 		return status;
 	}
 	log = mc_log_create(mc_log_sink_stderr(), settings->log_level);
-	status = mc_process_run(ops, settings, log);
+	status = command->run(path, settings, log);
 	mc_log_destroy(log);
 	free(settings);
 	return status;
 }
 
-static int run_role(const mc_role_ops_t *ops, int argc, char **argv)
+static int run_role(const role_command_t *command, int argc, char **argv)
 {
 	struct arg_lit *help = arg_lit0(NULL, "help", "show this help");
 	struct arg_str *level = arg_str0(
@@ -85,28 +96,72 @@
 	int status = MC_CLI_OK;
 
 	if (help->count) {
-		printf("Usage: mangocove %s", ops->name);
+		printf("Usage: mangocove %s", command->name);
 		arg_print_syntax(stdout, table, "\n");
 		arg_print_glossary(stdout, table, "  %-24s %s\n");
-		printf("\nExample: mangocove %s %s.toml\n", ops->name,
-		       ops->name);
+		printf("\nExample: mangocove %s %s.toml\n", command->name,
+		       command->name);
 	} else if (faults) {
 		arg_print_errors(stderr, end, "mangocove");
 		status = MC_CLI_BAD_INPUT;
 	} else {
-		status = run(ops, path->filename[0],
+		status = run(command, path->filename[0],
 			     level->count ? level->sval[0] : NULL);
 	}
 	arg_freetable(table, MC_ARRAY_LEN(table));
 	return status;
 }
 
+static int run_as_front(const char *path, const mc_settings_t *settings,
+			mc_log_t *log)
+{
+	(void)path;
+	return mc_process_run(mc_front_ops(), settings, log);
+}
+
+static int run_as_gather(const char *path, const mc_settings_t *settings,
+			 mc_log_t *log)
+{
+	(void)path;
+	return mc_process_run(mc_gather_ops(), settings, log);
+}
+
+static int run_as_tier(const char *path, const mc_settings_t *settings,
+		       mc_log_t *log)
+{
+	const mc_tier_params_t params = {
+		.dialect = mc_platform_dialect(),
+		.source = mc_platform_source(),
+		.settings_path = path,
+		.log = log,
+	};
+
+	return mc_tier_run(&params, settings);
+}
+
 int run_front(int argc, char **argv)
 {
-	return run_role(mc_front_ops(), argc, argv);
+	static const role_command_t command = { .name = "front",
+						.role = MC_ROLE_FRONT,
+						.run = run_as_front };
+
+	return run_role(&command, argc, argv);
 }
 
 int run_gather(int argc, char **argv)
 {
-	return run_role(mc_gather_ops(), argc, argv);
+	static const role_command_t command = { .name = "gather",
+						.role = MC_ROLE_GATHER,
+						.run = run_as_gather };
+
+	return run_role(&command, argc, argv);
+}
+
+int run_tier(int argc, char **argv)
+{
+	static const role_command_t command = { .name = "tier",
+						.role = MC_ROLE_TIER,
+						.run = run_as_tier };
+
+	return run_role(&command, argc, argv);
 }
--- /dev/null
+++ b/src/retry/include/mc/hedge_time.h
@@ -0,0 +1,20 @@
+/*
+ * When a part of a request that is still out gets a second target. Pure.
+ */
+#ifndef MC_HEDGE_TIME_H
+#define MC_HEDGE_TIME_H
+
+#include "mc/retry.h"
+
+/**
+ * mc_hedge_time() - how long to wait for a target before another one is asked
+ * @usual: median latency of this kind of request
+ * @high: its 95th percentile
+ * @goal: time within which the whole answer has its full worth, ms
+ *
+ * Return: ms, from 1.
+ */
+mc_ms_t mc_hedge_time(const mc_quantile_t *usual, const mc_quantile_t *high,
+		      mc_ms_t goal);
+
+#endif
--- a/src/settings/include/mc/settings.h
+++ b/src/settings/include/mc/settings.h
@@ -14,6 +14,16 @@
  *	peer = "127.0.0.1:7100"           # where peers reach this front
  *	[gather]
  *	peer = "127.0.0.1:7101"           # where fronts and peers reach it
+ *	[tier]
+ *	instance = "north-1"              # name, unique among instances
+ *	callers = "127.0.0.1:8080"        # where callers are served
+ *	ready = "127.0.0.1:8081"          # where readiness is asked
+ *	metrics = "127.0.0.1:9464"        # where metrics are served; optional
+ *	notice_ms = 2500                  # of a planned stop, before it closes
+ *	extra_share = 0.2                 # extra requests per request to a
+ *	                                  # service, of all instances
+ *	extra_window_ms = 10000           # span in which they are counted
+ *	extra_slack = 50                  # extra requests besides, per window
  *	[policy]
  *	owners = 8                        # owner gathers of a target, 1..64
  *	replica = "two_choices" | "round_robin" | "hash"
@@ -43,6 +53,8 @@
 typedef enum mc_role_t {
 	MC_ROLE_FRONT,
 	MC_ROLE_GATHER,
+	/* Faces callers and targets itself; learns both from a platform. */
+	MC_ROLE_TIER,
 } mc_role_t;
 
 /** struct mc_policy_t - names of the policies and their parameters */
@@ -75,6 +87,14 @@
 	char callers[MC_ADDRESS_SIZE];
 	char front_peer[MC_ADDRESS_SIZE];
 	char gather_peer[MC_ADDRESS_SIZE];
+	char instance[64];
+	char tier_callers[MC_ADDRESS_SIZE];
+	char ready[MC_ADDRESS_SIZE];
+	char metrics[MC_ADDRESS_SIZE];
+	mc_ms_t notice;
+	double extra_share;
+	mc_ms_t extra_window;
+	uint32_t extra_slack;
 	mc_policy_t policy;
 } mc_settings_t;
 
--- a/src/settings/keys.c
+++ b/src/settings/keys.c
@@ -27,6 +27,7 @@
 #define PEERS .kind = &settings_kind_peers, .min = PORT_FIXED
 #define U32(low, high) .kind = &settings_kind_u32, .min = (low), .max = (high)
 #define U64(low, high) .kind = &settings_kind_u64, .min = (low), .max = (high)
+#define SHARE .kind = &settings_kind_share
 #define LEVEL .kind = &settings_kind_level
 #define CHOICE(list) .kind = &settings_kind_choice, .choices = (list)
 
@@ -45,6 +46,16 @@
 	  .need = NEED_FRONT },
 	{ "gather", "peer", ADDRESS(PORT_ANY), FIELD(gather_peer),
 	  .need = NEED_GATHER },
+	{ "tier", "instance", NAME, FIELD(instance), .need = NEED_TIER },
+	{ "tier", "callers", ADDRESS(PORT_ANY), FIELD(tier_callers),
+	  .need = NEED_TIER },
+	{ "tier", "ready", ADDRESS(PORT_ANY), FIELD(ready), .need = NEED_TIER },
+	{ "tier", "metrics", ADDRESS(PORT_ANY), FIELD(metrics) },
+	{ "tier", "notice_ms", U64(0, GRACE_MS_MAX), FIELD(notice) },
+	{ "tier", "extra_share", SHARE, FIELD(extra_share) },
+	{ "tier", "extra_window_ms", U64(1, GRACE_MS_MAX),
+	  FIELD(extra_window) },
+	{ "tier", "extra_slack", U32(0, CONCURRENCY_MAX), FIELD(extra_slack) },
 	{ "policy", "owners", U32(1, MC_OWNERS_MAX), FIELD(policy.owners) },
 	{ "policy", "replica", CHOICE(replicas), FIELD(policy.replica) },
 	{ "policy", "limit", CHOICE(limits), FIELD(policy.limit) },
@@ -100,6 +111,10 @@
 		.shards = 2,
 		.log_level = MC_LOG_INFO,
 		.grace = 10000,
+		.notice = 2500,
+		.extra_share = 0.2,
+		.extra_window = 10000,
+		.extra_slack = 50,
 		.policy = {
 			.owners = 8,
 			.replica = "two_choices",
--- a/src/settings/keys.h
+++ b/src/settings/keys.h
@@ -27,6 +27,7 @@
 	NEED_ALWAYS,
 	NEED_FRONT,
 	NEED_GATHER,
+	NEED_TIER,
 } settings_need_t;
 
 /**
@@ -56,6 +57,7 @@
 extern const settings_kind_t settings_kind_peers;
 extern const settings_kind_t settings_kind_u32;
 extern const settings_kind_t settings_kind_u64;
+extern const settings_kind_t settings_kind_share;
 extern const settings_kind_t settings_kind_level;
 extern const settings_kind_t settings_kind_choice;
 
--- a/src/settings/kinds.c
+++ b/src/settings/kinds.c
@@ -105,6 +105,26 @@
 		 (long long)key->max);
 }
 
+static bool read_share(const settings_key_t *key, const mc_toml_node_t *node,
+		       void *out)
+{
+	double share = node->kind == MC_TOML_INTEGER ? (double)node->integer
+						     : node->real;
+
+	(void)key;
+	if ((node->kind != MC_TOML_FLOAT && node->kind != MC_TOML_INTEGER) ||
+	    !(share >= 0 && share <= 1))
+		return false;
+	memcpy(out, &share, sizeof(share));
+	return true;
+}
+
+static void describe_share(const settings_key_t *key, char *text, size_t size)
+{
+	(void)key;
+	snprintf(text, size, "a number of 0 to 1");
+}
+
 static bool read_level(const settings_key_t *key, const mc_toml_node_t *node,
 		       void *out)
 {
@@ -171,6 +191,11 @@
 	.describe = describe_number,
 };
 
+const settings_kind_t settings_kind_share = {
+	.read = read_share,
+	.describe = describe_share,
+};
+
 const settings_kind_t settings_kind_level = {
 	.read = read_level,
 	.describe = describe_level,
--- a/src/settings/settings.c
+++ b/src/settings/settings.c
@@ -14,7 +14,7 @@
 	PATH_SIZE = 64,
 	STRING_SHOWN = 48,
 	/* More keys than the table has. */
-	KEYS_MAX = 32,
+	KEYS_MAX = 64,
 };
 
 /* The faults so far and what was seen of the text. */
@@ -138,6 +138,8 @@
 		return role == MC_ROLE_FRONT;
 	case NEED_GATHER:
 		return role == MC_ROLE_GATHER;
+	case NEED_TIER:
+		return role == MC_ROLE_TIER;
 	case NEED_NEVER:
 		break;
 	}
--- /dev/null
+++ b/src/tier/head.c
@@ -0,0 +1,110 @@
+/*
+ * The head of a request as targets get it: what the caller sent, without the
+ * lines that concern its connection only. Each target's own lines come behind.
+ */
+#include "tier_private.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+#include "head.h"
+
+bool head_is_hop(const mc_h1_message_t *message, const char *name)
+{
+	static const char *const hop[] = {
+		"Connection",
+		"Keep-Alive",
+		"Proxy-Connection",
+		"TE",
+		"Trailer",
+		"Transfer-Encoding",
+		"Upgrade",
+		"Content-Length",
+		"Proxy-Authenticate",
+		"Expect",
+		"Proxy-Authorization",
+	};
+	const char *named = mc_h1_find(message, "Connection");
+	size_t size = strlen(name);
+	size_t i;
+
+	for (i = 0; i < MC_ARRAY_LEN(hop); i++)
+		if (!strcasecmp(hop[i], name))
+			return true;
+	/* Lines that the sender names in its line "Connection". */
+	while (named && *named) {
+		named += strspn(named, " ,\t");
+		if (!strncasecmp(named, name, size) &&
+		    strchr(" ,\t", named[size]))
+			return true;
+		named += strcspn(named, ",");
+	}
+	return false;
+}
+
+/* Appends to the text; all sizes were added up before. */
+static char *put(char *at, const char *text)
+{
+	size_t size = strlen(text);
+
+	memcpy(at, text, size);
+	return at + size;
+}
+
+static bool passes(const tier_t *tier, const mc_h1_message_t *message,
+		   const char *name)
+{
+	return tier->dialect->passes_on(name) && !head_is_hop(message, name);
+}
+
+static size_t room_for(const mc_h1_message_t *message)
+{
+	static const char fixed[] = "  HTTP/1.1\r\nContent-Length: "
+				    "18446744073709551615\r\n";
+	size_t size = sizeof(fixed) + strlen(message->method) +
+		      strlen(message->target);
+	uint32_t i;
+
+	for (i = 0; i < message->header_count; i++)
+		size += strlen(message->headers[i].name) +
+			strlen(message->headers[i].value) + strlen(": \r\n");
+	return size;
+}
+
+static bool has_body(const mc_h1_message_t *message)
+{
+	return message->body_size || mc_h1_find(message, "Content-Length") ||
+	       mc_h1_find(message, "Transfer-Encoding");
+}
+
+mc_err_t head_make(request_t *request)
+{
+	const mc_h1_message_t *message = &request->message;
+	char *at = malloc(room_for(message));
+	uint32_t i;
+
+	if (!at)
+		return mc_fail(MC_ERR_NO_MEMORY, "no memory for a head");
+	request->head = at;
+	at = put(at, message->method);
+	*at++ = ' ';
+	at = put(at, message->target);
+	at = put(at, " HTTP/1.1\r\n");
+	for (i = 0; i < message->header_count; i++) {
+		const mc_h1_header_t *header = &message->headers[i];
+
+		if (!passes(request->tier, message, header->name))
+			continue;
+		at = put(at, header->name);
+		at = put(at, ": ");
+		at = put(at, header->value);
+		at = put(at, "\r\n");
+	}
+	if (has_body(message))
+		at += sprintf(at, "Content-Length: %zu\r\n",
+			      message->body_size);
+	request->head_size = (size_t)(at - request->head);
+	return MC_OK;
+}
--- /dev/null
+++ b/src/tier/tier.c
@@ -0,0 +1,268 @@
+/*
+ * The role: its state in each data shard, worlds from the control shard, and a
+ * planned stop.
+ */
+#include "tier_private.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "reload.h"
+
+enum {
+	TIER_SERVICES_MAX = MC_MAP_SERVICES_MAX,
+};
+
+static void on_request(void *ctx, mc_handle_t caller,
+		       const mc_h1_message_t *message, mc_ms_t first_byte)
+{
+	request_begin(ctx, caller, message, first_byte);
+}
+
+static void on_gone(void *ctx, mc_handle_t caller)
+{
+	request_gone(ctx, caller);
+}
+
+static void free_services(tier_t *tier)
+{
+	uint32_t cursor = 0;
+	mc_handle_t handle;
+	service_t *service;
+
+	while (tier->services &&
+	       (service = mc_table_next(tier->services, &cursor, &handle)))
+		free(service->targets);
+}
+
+static void tier_destroy(void *state)
+{
+	tier_t *tier = state;
+
+	requests_free(tier);
+	free_services(tier);
+	mc_h1_destroy(tier->h1);
+	mc_h1_destroy(tier->ready);
+	mc_h1_destroy(tier->metrics);
+	mc_table_destroy(tier->services);
+	mc_table_destroy(tier->targets);
+	mc_table_destroy(tier->links);
+	mc_table_destroy(tier->tries);
+	mc_table_destroy(tier->requests);
+	mc_world_unref(tier->world);
+	free(tier->rows);
+	if (tier->pool)
+		apr_pool_destroy(tier->pool);
+	free(tier);
+}
+
+static mc_err_t create_parts(tier_t *tier)
+{
+	if (apr_pool_create(&tier->pool, NULL))
+		return mc_fail(MC_ERR_NO_MEMORY, "no memory for a pool");
+	tier->service_names = apr_hash_make(tier->pool);
+	tier->target_ids = apr_hash_make(tier->pool);
+	tier->books = apr_hash_make(tier->pool);
+	tier->services = mc_table_create(sizeof(service_t), TIER_SERVICES_MAX);
+	tier->targets = mc_table_create(sizeof(target_t), MC_FLEET_TARGETS_MAX);
+	tier->links = mc_table_create(sizeof(link_t), TIER_LINKS_MAX);
+	tier->tries = mc_table_create(sizeof(try_t), TIER_TRIES_MAX);
+	tier->requests = mc_table_create(sizeof(request_t), TIER_REQUESTS_MAX);
+	tier->h1 = mc_h1_create(tier->shard);
+	if (!tier->services || !tier->targets || !tier->links || !tier->tries ||
+	    !tier->requests || !tier->h1)
+		return mc_fail(MC_ERR_NO_MEMORY, "no memory for a tier");
+	return MC_OK;
+}
+
+static void *tier_create(void *role, mc_host_t *host, mc_shard_t *shard)
+{
+	static const mc_h1_server_t server = {
+		.request = on_request,
+		.gone = on_gone,
+	};
+	tier_process_t *process = role;
+	tier_t *tier = calloc(1, sizeof(*tier));
+	mc_err_t err;
+
+	(void)host;
+	if (!tier)
+		return NULL;
+	tier->process = process;
+	tier->shard = shard;
+	tier->log = process->params.log;
+	tier->dialect = process->params.dialect;
+	tier->extra_share = process->settings.extra_share;
+	tier->extra_slack = process->settings.extra_slack;
+	tier->spread = mc_random_unit(mc_shard_random(shard));
+	err = create_parts(tier);
+	if (!err)
+		err = mc_h1_serve(tier->h1, process->callers, &server, tier);
+	if (!err && !mc_shard_index(shard))
+		err = ready_serve(tier);
+	if (!err)
+		return tier;
+	tier_destroy(tier);
+	return NULL;
+}
+
+/* A world on its way to a data shard. */
+typedef struct {
+	tier_process_t *process;
+	const mc_world_t *world;
+} news_t;
+
+static void take_world(mc_shard_t *shard, void *arg)
+{
+	news_t *news = arg;
+	tier_t *tier =
+		mc_host_state(news->process->host, mc_shard_index(shard));
+
+	if (tier)
+		world_adopt(tier, news->world);
+	else
+		mc_world_unref(news->world);
+	free(news);
+}
+
+static void publish(void *ctx, const mc_world_t *world)
+{
+	tier_process_t *process = ctx;
+	uint32_t i;
+
+	for (i = 0; i < mc_host_shard_count(process->host); i++) {
+		news_t *news = malloc(sizeof(*news));
+
+		if (!news)
+			continue;
+		news->process = process;
+		news->world = mc_world_ref(world);
+		if (!mc_shard_post(mc_host_shard(process->host, i), take_world,
+				   news))
+			continue;
+		mc_world_unref(news->world);
+		free(news);
+	}
+	mc_world_unref(world);
+}
+
+static mc_err_t bind_all(tier_process_t *process)
+{
+	const mc_settings_t *settings = &process->settings;
+	uint16_t port;
+	mc_err_t err =
+		mc_http_bind(settings->tier_callers, &port, &process->callers);
+
+	if (!err)
+		err = mc_http_bind(settings->ready, &port, &process->ready);
+	if (!err && settings->metrics[0])
+		err = mc_http_bind(settings->metrics, &port, &process->metrics);
+	return err;
+}
+
+static mc_err_t tier_open(void *role, mc_host_t *host)
+{
+	tier_process_t *process = role;
+	const mc_settings_t *settings = &process->settings;
+	const mc_follow_params_t params = {
+		.shard = mc_host_control(host),
+		.source = process->params.source,
+		.address = settings->platform,
+		.instance = settings->instance,
+		.data_center = settings->data_center,
+		.publish = publish,
+		.ctx = process,
+	};
+	mc_err_t err;
+
+	process->host = host;
+	err = bind_all(process);
+	if (err)
+		return err;
+	process->follow = mc_follow_create(&params);
+	return process->follow ? MC_OK : MC_ERR_NO_MEMORY;
+}
+
+static void close_socket(int fd)
+{
+	if (fd >= 0)
+		mc_socket_close(fd);
+}
+
+static void tier_closed(void *role)
+{
+	tier_process_t *process = role;
+
+	mc_follow_destroy(process->follow);
+	close_socket(process->callers);
+	close_socket(process->ready);
+	close_socket(process->metrics);
+}
+
+static void tier_drain(void *state)
+{
+	tier_t *tier = state;
+
+	tier->leaving = true;
+	mc_h1_leave(tier->h1);
+}
+
+static void tier_close(void *state)
+{
+	tier_t *tier = state;
+
+	mc_h1_close_idle(tier->h1);
+}
+
+static bool tier_idle(void *state)
+{
+	const tier_t *tier = state;
+
+	return !mc_table_count(tier->requests) && !mc_h1_busy(tier->h1);
+}
+
+static const mc_host_ops_t host_ops = {
+	.name = "tier",
+	.open = tier_open,
+	.closed = tier_closed,
+	.create = tier_create,
+	.destroy = tier_destroy,
+	.drain = tier_drain,
+	.close = tier_close,
+	.idle = tier_idle,
+	.reload = reload_settings,
+	.check = reload_if_changed,
+};
+
+int mc_tier_run(const mc_tier_params_t *params, const mc_settings_t *settings)
+{
+	tier_process_t process = {
+		.params = *params,
+		.settings = *settings,
+		.callers = -1,
+		.ready = -1,
+		.metrics = -1,
+	};
+	uint64_t seed = settings->seed;
+	mc_host_params_t host = {
+		.ops = &host_ops,
+		.role = &process,
+		.shards = settings->shards,
+		.log = params->log,
+		.grace = settings->grace,
+		.notice = settings->notice,
+	};
+
+	if (!seed)
+		seed = (uint64_t)mc_clock_wall(mc_clock_system()) ^
+		       (uint64_t)getpid();
+	host.seed = mc_hash_pair(seed, mc_hash_string(settings->instance));
+	reload_note(&process);
+	mc_log(params->log, MC_LOG_NOTICE, "tier",
+	       "starts instance=%s data_center=%s callers=%s store=%s "
+	       "shards=%u",
+	       settings->instance, settings->data_center,
+	       settings->tier_callers, settings->platform, settings->shards);
+	return mc_host_run(&host) ? 1 : 0;
+}
--- /dev/null
+++ b/src/tier/tier_private.h
@@ -0,0 +1,319 @@
+/*
+ * A tier's state in one data shard, as the files of this library share it.
+ * Everything here is guarded by the shard's lock.
+ */
+#ifndef MC_TIER_PRIVATE_H
+#define MC_TIER_PRIVATE_H
+
+#include <apr_hash.h>
+#include <apr_pools.h>
+#include <sys/queue.h>
+
+#include "mc/again.h"
+#include "mc/fleet.h"
+#include "mc/follow.h"
+#include "mc/host.h"
+#include "mc/pace.h"
+#include "mc/records.h"
+#include "mc/replica.h"
+#include "mc/retry.h"
+#include "mc/tier.h"
+
+enum {
+	TIER_REQUESTS_MAX = 16384,
+	TIER_TRIES_MAX = 1 << 20,
+	TIER_LINKS_MAX = 16384,
+	/* Ranks of routes that are told apart; the last one holds the rest. */
+	TIER_RANKS = 8,
+	/* Targets that one part of a request remembers. */
+	TIER_TRIED_MAX = 6,
+};
+
+typedef struct tier_t tier_t;
+typedef struct request_t request_t;
+typedef struct part_t part_t;
+
+TAILQ_HEAD(waiting_t, part_t);
+TAILQ_HEAD(links_t, link_t);
+TAILQ_HEAD(tries_t, try_t);
+
+/*
+ * What is known of the requests of one route, by its name: how long their
+ * parts usually take, and most of them.
+ */
+typedef struct {
+	mc_quantile_t usual;
+	mc_quantile_t high;
+	uint64_t requests;
+} book_t;
+
+/* A service, whether or not the map in force names it. */
+typedef struct {
+	tier_t *tier;
+	mc_handle_t handle;
+	char name[MC_FLEET_NAME_SIZE];
+	uint32_t target_count;
+	uint32_t target_capacity;
+	mc_handle_t *targets;
+	/* Connections that this shard may have to each target. */
+	uint32_t links_max;
+	/* Requests a second that this shard may send to a cold target; 0 when
+	 * a cold target bears what a warm one does. */
+	double cold_rate;
+	mc_budget_t extras;
+	uint32_t waiting_count;
+	struct waiting_t waiting[TIER_RANKS];
+	mc_handle_t timer;
+} service_t;
+
+/* A target that the world names, or that has connections left. */
+typedef struct {
+	mc_handle_t handle;
+	mc_handle_t service;
+	mc_target_entry_t entry;
+	bool listed;
+	bool local;
+	bool leaving;
+	bool out;
+	mc_ms_t cold_until;
+	mc_pace_t pace;
+	mc_health_t health;
+	uint32_t link_count;
+	struct links_t idle;
+	/* Requests under way, the oldest first. */
+	struct tries_t tries;
+	uint32_t in_flight;
+	/* Requests of others, from its last report. */
+	uint32_t others;
+	mc_ms_t reported;
+} target_t;
+
+/* A connection to a target; it carries one request at a time. */
+typedef struct link_t {
+	tier_t *tier;
+	mc_handle_t handle;
+	mc_handle_t target;
+	mc_handle_t connection;
+	mc_handle_t sent;
+	bool open;
+	bool is_idle;
+	/* Another's answer came on it: it is closed after its request. */
+	bool spoiled;
+	uint32_t uses;
+	mc_ms_t idle_until;
+	mc_handle_t timer;
+	TAILQ_ENTRY(link_t) entry;
+} link_t;
+
+/* A part of a request that was sent to a target. */
+typedef struct try_t {
+	mc_handle_t handle;
+	mc_handle_t request;
+	uint32_t part;
+	mc_handle_t target;
+	mc_handle_t link;
+	mc_ms_t sent_at;
+	double usual;
+	bool extra;
+	TAILQ_ENTRY(try_t) of_request;
+	TAILQ_ENTRY(try_t) of_target;
+} try_t;
+
+typedef enum {
+	PART_NEW,
+	PART_WAITS,
+	PART_SENT,
+	PART_IN,
+	PART_OUT,
+} part_state_t;
+
+/* The part of one service in a request's answer. */
+struct part_t {
+	request_t *request;
+	uint32_t index;
+	mc_handle_t service;
+	part_state_t state;
+	bool hedged;
+	bool paid_first;
+	uint32_t open;
+	mc_tries_t tries;
+	mc_ms_t sent_at;
+	mc_err_t reason;
+	uint32_t tried_count;
+	mc_handle_t tried[TIER_TRIED_MAX];
+	TAILQ_ENTRY(part_t) entry;
+};
+
+/* A caller's request from its arrival to its answer. */
+struct request_t {
+	tier_t *tier;
+	mc_handle_t handle;
+	mc_handle_t caller;
+	const mc_map_t *map;
+	const mc_map_route_t *route;
+	book_t *book;
+	mc_h1_message_t message;
+	mc_call_t call;
+	/* Request line and header lines that all targets get. */
+	char *head;
+	size_t head_size;
+	mc_ms_t begun;
+	mc_ms_t goal_at;
+	mc_ms_t end_at;
+	mc_handle_t timer;
+	bool repeatable;
+	/* A target may have run it, or a part of it. */
+	bool may_have_run;
+	uint32_t hedges;
+	uint32_t sends;
+	mc_coming_t coming;
+	uint32_t part_count;
+	part_t *parts;
+	mc_records_t records;
+	char *signatures;
+	size_t signatures_size;
+	size_t signatures_capacity;
+	struct tries_t tries;
+};
+
+/* The process: what all data shards share and never changes. */
+typedef struct {
+	mc_tier_params_t params;
+	mc_settings_t settings;
+	mc_host_t *host;
+	mc_follow_t *follow;
+	int callers;
+	int ready;
+	int metrics;
+	int64_t settings_changed;
+} tier_process_t;
+
+struct tier_t {
+	tier_process_t *process;
+	mc_shard_t *shard;
+	mc_log_t *log;
+	const mc_dialect_t *dialect;
+	mc_h1_t *h1;
+	mc_h1_t *ready;
+	mc_h1_t *metrics;
+	const mc_world_t *world;
+	/* Services by row of the world's map. */
+	mc_handle_t *rows;
+	uint32_t instances;
+	double extra_share;
+	uint32_t extra_slack;
+	bool leaving;
+	/* A point that moves evenly over [0, 1), for choices by weight. */
+	double spread;
+	mc_table_t *services;
+	mc_table_t *targets;
+	mc_table_t *links;
+	mc_table_t *tries;
+	mc_table_t *requests;
+	apr_pool_t *pool;
+	apr_hash_t *service_names;
+	apr_hash_t *target_ids;
+	apr_hash_t *books;
+};
+
+/* world.c: services and targets as the published world has them */
+
+/** world_adopt() - take @world into force; the tier's to unref */
+void world_adopt(tier_t *tier, const mc_world_t *world);
+
+/** world_extras() - the budget of extra requests has changed */
+void world_extras(tier_t *tier, double share, uint32_t slack);
+
+/** world_book() - the book of a route; NULL without memory */
+book_t *world_book(tier_t *tier, const mc_map_route_t *route);
+
+/** world_target_done() - forget a target that nothing uses any more */
+void world_target_done(tier_t *tier, target_t *target);
+
+/* pool.c: connections to targets */
+
+/** pool_room() - whether one more request can leave for @target now */
+bool pool_room(tier_t *tier, const service_t *service, const target_t *target);
+
+/**
+ * pool_take() - a connection for one request
+ * @fresh: one that was never used
+ *
+ * Return: NULL when there is no room or no connection could be begun.
+ */
+link_t *pool_take(tier_t *tier, const service_t *service, target_t *target,
+		  bool fresh);
+
+/** pool_drop() - close a connection, with what it carries */
+void pool_drop(tier_t *tier, link_t *link);
+
+/** pool_close_idle() - close a target's idle connections */
+void pool_close_idle(tier_t *tier, target_t *target);
+
+/* choice.c */
+
+/** choice_target() - the target for a part, or NULL */
+target_t *choice_target(tier_t *tier, const part_t *part);
+
+/* send.c: one part at one target */
+
+/** send_part() - send a part to a target; false when none can take it now */
+bool send_part(tier_t *tier, part_t *part, bool extra);
+
+/** send_cancel() - give up what was sent; the target may go on with it */
+void send_cancel(tier_t *tier, try_t *sent);
+
+/** send_answered() - a target answered; false when the answer is another's */
+bool send_answered(tier_t *tier, link_t *link, try_t *sent,
+		   const mc_h1_message_t *message);
+
+/** send_broken() - the connection of what was sent is gone */
+void send_broken(tier_t *tier, try_t *sent, bool left);
+
+/** service_wake() - let waiting parts leave while there is room */
+void service_wake(tier_t *tier, service_t *service);
+
+/* request.c: a request's life */
+
+/** request_begin() - a whole request has arrived */
+void request_begin(tier_t *tier, mc_handle_t caller,
+		   const mc_h1_message_t *message, mc_ms_t first_byte);
+
+/** request_gone() - its caller has gone */
+void request_gone(tier_t *tier, mc_handle_t caller);
+
+/** request_part_in() - a target has answered @part with success */
+void request_part_in(request_t *request, part_t *part,
+		     const mc_h1_message_t *message, const mc_reply_t *reply);
+
+/**
+ * request_part_failed() - what was sent for @part has ended without success
+ * @message: the target's answer, or NULL
+ */
+void request_part_failed(request_t *request, part_t *part, mc_end_t end,
+			 mc_err_t reason, const mc_h1_message_t *message,
+			 const mc_reply_t *reply);
+
+/** requests_free() - all of them, without answers */
+void requests_free(tier_t *tier);
+
+/* reply.c: what callers are told */
+
+/** reply_refuse() - answer a caller with an error of our own */
+void reply_refuse(tier_t *tier, mc_handle_t caller, mc_err_t err);
+
+/** reply_forward() - answer with a target's answer */
+void reply_forward(request_t *request, const mc_h1_message_t *message);
+
+/** reply_add_signature() - the signature of a part that is in */
+mc_err_t reply_add_signature(request_t *request, const char *signature);
+
+/** reply_merged() - answer with the records of the parts that are in */
+void reply_merged(request_t *request);
+
+/* ready.c: readiness and metrics */
+
+/** ready_serve() - serve readiness and metrics on the first data shard */
+mc_err_t ready_serve(tier_t *tier);
+
+#endif
