Watches that notice a silent store in time; replaced targets get nothing more

Ruled out: the store's answers and the order of versions (logs of follow). Changes of targets within 150 ms are read together.

--- a/src/follow/follow.c
+++ b/src/follow/follow.c
@@ -9,22 +9,27 @@
 #include <string.h>
 
 enum {
-	/*
-	 * One watch waits so long, ms. A connection that has gone silent is
-	 * noticed after this and the time that the store has for an answer.
-	 */
-	WATCH_MS = 4000,
+	/* Changes that come close together are read together, ms. */
+	GATHER_MS = 150,
 	/* Tries after failures: first and longest pause, ms. */
 	PAUSE_MIN_MS = 100,
 	PAUSE_MAX_MS = 1000,
 	PAUSE_DOUBLINGS = 4,
 };
 
-static const char *const kind_names[] = {
-	[MC_SOURCE_MAP] = "map",
-	[MC_SOURCE_TARGETS] = "targets",
-	[MC_SOURCE_OUT] = "out",
-	[MC_SOURCE_INSTANCES] = "instances",
+/*
+ * @watch: how long one watch waits, ms. A connection that has gone silent is
+ *	noticed after this and the time that the store has for an answer, so it
+ *	is short where a change is due soon.
+ */
+static const struct {
+	const char *name;
+	mc_ms_t watch;
+} kinds[] = {
+	[MC_SOURCE_MAP] = { "map", 2000 },
+	[MC_SOURCE_TARGETS] = { "targets", 2000 },
+	[MC_SOURCE_OUT] = { "out", 2500 },
+	[MC_SOURCE_INSTANCES] = { "instances", 10000 },
 };
 
 static void go_on(mc_shard_t *shard, void *arg);
@@ -119,7 +124,7 @@
 		mc_log(mc_shard_log(kind->follow->params.shard), MC_LOG_NOTICE,
 		       "follow",
 		       "history is gone, list anew kind=%s above=%llu",
-		       kind_names[kind->kind],
+		       kinds[kind->kind].name,
 		       (unsigned long long)kind->revision);
 		kind->watching = false;
 		kind->strict = true;
@@ -168,7 +173,10 @@
 	else
 		took_list(kind, result);
 	follow_changed(kind->follow);
-	go_on(kind->follow->params.shard, kind);
+	if (kind->watching && result->record_count)
+		set_timer(kind->follow, GATHER_MS, go_on, kind, &kind->timer);
+	else
+		go_on(kind->follow->params.shard, kind);
 }
 
 static void go_on(mc_shard_t *shard, void *arg)
@@ -181,7 +189,7 @@
 	mc_count(mc_shard_counters(shard), MC_COUNTER_STORE_CALLS, 1);
 	if (kind->watching)
 		err = ops->watch(follow->source, kind->kind, kind->revision,
-				 WATCH_MS, took, kind);
+				 kinds[kind->kind].watch, took, kind);
 	else
 		err = ops->list(follow->source, kind->kind, kind->after,
 				!kind->strict, took, kind);
--- a/src/tier/choice.c
+++ b/src/tier/choice.c
@@ -31,6 +31,35 @@
 	return (target->in_flight + others) / slots;
 }
 
+/* Targets that a part never goes to, whatever their room is. */
+static bool is_barred(const tier_t *tier, const part_t *part,
+		      const target_t *target)
+{
+	mc_ms_t now = mc_shard_now(tier->shard);
+
+	if (target->out || target->replaced)
+		return true;
+	if (!was_tried(part, target->handle))
+		return false;
+	/* An extra request finds out more at another target. */
+	return part->open ||
+	       mc_health_level(&target->health, 0, 0, now) == MC_REPLICA_OUT;
+}
+
+bool choice_any(tier_t *tier, const part_t *part)
+{
+	const service_t *service = mc_table_get(tier->services, part->service);
+	const target_t *target;
+	uint32_t i;
+
+	for (i = 0; service && i < service->target_count; i++) {
+		target = mc_table_get(tier->targets, service->targets[i]);
+		if (target && !is_barred(tier, part, target))
+			return true;
+	}
+	return false;
+}
+
 static mc_candidate_t candidate_of(tier_t *tier, const service_t *service,
 				   const part_t *part, target_t *target)
 {
@@ -42,7 +71,7 @@
 		.level = mc_health_level(&target->health,
 					 oldest ? now - oldest->sent_at : 0,
 					 oldest ? oldest->usual : 0, now),
-		.room = !target->out && pool_room(tier, service, target) &&
+		.room = pool_room(tier, service, target) &&
 			(!cold ||
 			 !mc_pace_wait(&target->pace, service->cold_rate, now)),
 		.leaving = target->leaving,
@@ -70,10 +99,7 @@
 		target = mc_table_get(
 			tier->targets,
 			service->targets[(first + i) % service->target_count]);
-		if (!target)
-			continue;
-		/* An extra request finds out more at another target. */
-		if (part->open && was_tried(part, target->handle))
+		if (!target || is_barred(tier, part, target))
 			continue;
 		candidates[count] = candidate_of(tier, service, part, target);
 		targets[count++] = target;
--- a/src/tier/request.c
+++ b/src/tier/request.c
@@ -245,20 +245,6 @@
 	schedule(request);
 }
 
-static bool has_targets(const tier_t *tier, const service_t *service)
-{
-	uint32_t i;
-
-	for (i = 0; i < service->target_count; i++) {
-		const target_t *target =
-			mc_table_get(tier->targets, service->targets[i]);
-
-		if (target && !target->out)
-			return true;
-	}
-	return false;
-}
-
 /* Sends the part now, or lets it wait for room at its service's targets. */
 static void part_go(part_t *part, bool extra)
 {
@@ -268,7 +254,7 @@
 
 	if (send_part(tier, part, extra))
 		return;
-	if (!service || !has_targets(tier, service)) {
+	if (!service || !choice_any(tier, part)) {
 		part->state = PART_OUT;
 		part->reason = MC_ERR_NO_TARGET;
 		part->request->coming.out++;
--- a/src/tier/send.c
+++ b/src/tier/send.c
@@ -216,9 +216,11 @@
 	switch (reply->kind) {
 	case MC_REPLY_REPLACED:
 		*reason = MC_ERR_NO_TARGET;
-		if (target)
+		if (target) {
+			target->replaced = true;
 			note_fault(tier, target, request, MC_REPLICA_REPLACED,
 				   "replaced");
+		}
 		return MC_END_REPLACED;
 	case MC_REPLY_REFUSED:
 		*reason = MC_ERR_TARGET_SHED;
--- a/src/tier/tier_private.h
+++ b/src/tier/tier_private.h
@@ -72,6 +72,8 @@
 	mc_handle_t service;
 	mc_target_entry_t entry;
 	bool listed;
+	/* Another target has its address. */
+	bool replaced;
 	bool local;
 	bool leaving;
 	bool out;
@@ -255,6 +257,9 @@
 /** choice_target() - the target for a part, or NULL */
 target_t *choice_target(tier_t *tier, const part_t *part);
 
+/** choice_any() - whether some target could get the part, now or later */
+bool choice_any(tier_t *tier, const part_t *part);
+
 /* send.c: one part at one target */
 
 /** send_part() - send a part to a target; false when none can take it now */
