tier: bound what all instances send to a target at a time

Cause: a node could have as many requests at a target as it had connections; in a pause the target's queue filled and it reset connections over its cap. Change: eight requests per slot, over all instances.

--- a/src/tier/pool.c
+++ b/src/tier/pool.c
@@ -77,8 +77,9 @@
 bool pool_room(tier_t *tier, const service_t *service, const target_t *target)
 {
 	(void)tier;
-	return !TAILQ_EMPTY(&target->idle) ||
-	       target->link_count < service->links_max;
+	return target->in_flight < target->load_max &&
+	       (!TAILQ_EMPTY(&target->idle) ||
+		target->link_count < service->links_max);
 }
 
 static void give_up_connect(mc_shard_t *shard, void *arg)
--- a/src/tier/tier_private.h
+++ b/src/tier/tier_private.h
@@ -85,6 +85,8 @@
 	/* Requests under way, the oldest first. */
 	struct tries_t tries;
 	uint32_t in_flight;
+	/* Most of those. */
+	uint32_t load_max;
 	/* Requests of others, from its last report. */
 	uint32_t others;
 	mc_ms_t reported;
--- a/src/tier/world.c
+++ b/src/tier/world.c
@@ -19,6 +19,8 @@
 	/* Part of a target's connections that is used, in percent. */
 	LINKS_USED = 95,
 	PERCENT = 100,
+	/* Requests that all instances send to a target at a time, per slot. */
+	LOAD_TIMES = 8,
 	/* For a service that the map does not name. */
 	LINKS_DEFAULT = 2,
 	TARGETS_AT_FIRST = 4,
@@ -156,6 +158,15 @@
 	       !strcmp(a->service, b->service);
 }
 
+/* This shard's part of what a target runs and lets wait. */
+static uint32_t load_of(const tier_t *tier, const mc_target_entry_t *entry)
+{
+	uint32_t all = entry->slots * LOAD_TIMES;
+	uint32_t own = (all + sharers(tier) - 1) / sharers(tier);
+
+	return own ? own : 1;
+}
+
 static void take_target(tier_t *tier, const mc_world_target_t *from)
 {
 	const char *own = tier->process->settings.data_center;
@@ -176,6 +187,7 @@
 	}
 	target->entry = from->entry;
 	target->listed = true;
+	target->load_max = load_of(tier, &from->entry);
 	target->local = !strcmp(from->entry.data_center, own);
 	target->leaving = from->leaving;
 	target->out = from->out;
