--- a/tests/unit/answer_test.c
+++ b/tests/unit/answer_test.c
@@ -8,6 +8,7 @@
 #include <string.h>
 #include <cmocka.h>
 
+#include "mc/records.h"
 #include "mc/answer.h"
 
 static mc_answer_t *answer_of_two(uint32_t limit)
@@ -99,12 +100,63 @@
 	mc_answer_destroy(answer);
 }
 
+static void fill_record(char *record, unsigned char first, unsigned char last)
+{
+	memset(record, 0, MC_RECORD_SIZE);
+	record[0] = (char)first;
+	record[MC_RECORD_SIZE - 1] = (char)last;
+}
+
+/* The greatest records of all parts, falling; a remainder is none. */
+static void test_records(void **state)
+{
+	mc_records_t records = { .max = 3 };
+	char part[3 * MC_RECORD_SIZE + 5];
+
+	(void)state;
+	fill_record(part, 1, 0);
+	fill_record(part + MC_RECORD_SIZE, 200, 1);
+	fill_record(part + 2 * MC_RECORD_SIZE, 200, 0);
+	memset(part + 3 * MC_RECORD_SIZE, 255, 5);
+	assert_int_equal(mc_records_add(&records, part, sizeof(part)), MC_OK);
+	fill_record(part, 200, 1);
+	assert_int_equal(mc_records_add(&records, part, MC_RECORD_SIZE), MC_OK);
+	mc_records_sort(&records);
+	assert_int_equal(records.count, 3);
+	assert_int_equal(records.rows[0][0], 200);
+	assert_int_equal(records.rows[0][MC_RECORD_SIZE - 1], 1);
+	assert_int_equal(records.rows[1][MC_RECORD_SIZE - 1], 1);
+	assert_int_equal(records.rows[2][MC_RECORD_SIZE - 1], 0);
+	mc_records_free(&records);
+}
+
+static void test_due(void **state)
+{
+	mc_coming_t coming = { .total = 20, .in = 18, .coverage_min = 0.89 };
+
+	(void)state;
+	assert_int_equal(mc_records_due(&coming, false, false), MC_DUE_WAIT);
+	assert_int_equal(mc_records_due(&coming, true, false), MC_DUE_ANSWER);
+	coming.out = 2;
+	assert_int_equal(mc_records_due(&coming, false, false), MC_DUE_ANSWER);
+	coming.in = 17;
+	coming.out = 3;
+	assert_int_equal(mc_records_due(&coming, false, false), MC_DUE_FAIL);
+	coming.out = 2;
+	assert_int_equal(mc_records_due(&coming, true, false), MC_DUE_WAIT);
+	assert_int_equal(mc_records_due(&coming, true, true), MC_DUE_FAIL);
+	coming = (mc_coming_t){ .total = 1, .out = 1 };
+	assert_int_equal(mc_records_due(&coming, true, true), MC_DUE_FAIL);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_merge_and_order),
 		cmocka_unit_test(test_only_right_results_count),
 		cmocka_unit_test(test_reasons),
+		cmocka_unit_test(test_records),
+		cmocka_unit_test(test_due),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- /dev/null
+++ b/tests/unit/follow_test.c
@@ -0,0 +1,342 @@
+/*
+ * Unit tests of the follow library, against a source that the test answers: it
+ * lists, watches, and lists anew when the history is gone.
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+#include <cmocka.h>
+
+#include "mc/follow.h"
+
+enum {
+	WAIT_MS = 20000,
+};
+
+/* One kind's open call; the test answers it on the shard. */
+typedef struct {
+	bool open;
+	bool watches;
+	bool cheap;
+	uint64_t above;
+	char after[64];
+	mc_source_done_fn_t done;
+	void *ctx;
+} call_t;
+
+struct mc_source_t {
+	call_t calls[MC_SOURCE_KINDS];
+	bool announced;
+};
+
+typedef struct {
+	mc_shard_t *shard;
+	mc_follow_t *follow;
+	const mc_world_t *world;
+} fixture_t;
+
+static mc_source_t the_source;
+
+static mc_source_t *fake_create(mc_shard_t *shard, const char *address)
+{
+	(void)shard;
+	(void)address;
+	memset(&the_source, 0, sizeof(the_source));
+	return &the_source;
+}
+
+static void fake_destroy(mc_source_t *source)
+{
+	(void)source;
+}
+
+static mc_err_t fake_list(mc_source_t *source, mc_source_kind_t kind,
+			  const char *after, bool cheap,
+			  mc_source_done_fn_t done, void *ctx)
+{
+	call_t *call = &source->calls[kind];
+
+	assert_false(call->open);
+	*call = (call_t){
+		.open = true, .cheap = cheap, .done = done, .ctx = ctx
+	};
+	snprintf(call->after, sizeof(call->after), "%s", after);
+	return MC_OK;
+}
+
+static mc_err_t fake_watch(mc_source_t *source, mc_source_kind_t kind,
+			   uint64_t above, mc_ms_t wait,
+			   mc_source_done_fn_t done, void *ctx)
+{
+	call_t *call = &source->calls[kind];
+
+	(void)wait;
+	assert_false(call->open);
+	*call = (call_t){
+		.open = true,
+		.watches = true,
+		.above = above,
+		.done = done,
+		.ctx = ctx,
+	};
+	return MC_OK;
+}
+
+static mc_err_t fake_announce(mc_source_t *source, const char *name,
+			      const char *data_center, mc_source_done_fn_t done,
+			      void *ctx)
+{
+	const mc_source_result_t result = { .err = MC_OK };
+
+	assert_string_equal(name, "north-1");
+	assert_string_equal(data_center, "north");
+	source->announced = true;
+	done(ctx, &result);
+	return MC_OK;
+}
+
+static const mc_source_ops_t fake = {
+	.create = fake_create,
+	.destroy = fake_destroy,
+	.list = fake_list,
+	.watch = fake_watch,
+	.announce = fake_announce,
+};
+
+static void publish(void *ctx, const mc_world_t *world)
+{
+	fixture_t *fixture = ctx;
+
+	mc_world_unref(fixture->world);
+	fixture->world = world;
+}
+
+static int set_up(void **state)
+{
+	const mc_shard_params_t params = {
+		.seed = 1,
+		.clock = mc_clock_system(),
+	};
+	fixture_t *fixture = calloc(1, sizeof(*fixture));
+	mc_follow_params_t follow = {
+		.source = &fake,
+		.address = "127.0.0.1:1",
+		.instance = "north-1",
+		.data_center = "north",
+		.publish = publish,
+		.ctx = fixture,
+	};
+
+	assert_non_null(fixture);
+	assert_int_equal(mc_net_init(), MC_OK);
+	fixture->shard = mc_shard_create(&params);
+	follow.shard = fixture->shard;
+	fixture->follow = mc_follow_create(&follow);
+	assert_non_null(fixture->follow);
+	assert_int_equal(mc_shard_start(fixture->shard), MC_OK);
+	*state = fixture;
+	return 0;
+}
+
+static int tear_down(void **state)
+{
+	fixture_t *fixture = *state;
+
+	mc_shard_stop(fixture->shard);
+	mc_follow_destroy(fixture->follow);
+	mc_world_unref(fixture->world);
+	mc_shard_destroy(fixture->shard);
+	free(fixture);
+	return 0;
+}
+
+/* Waits for a call of a kind and returns a copy of it. */
+static call_t wait_call(fixture_t *fixture, mc_source_kind_t kind)
+{
+	mc_ms_t end = mc_clock_now(mc_clock_system()) + WAIT_MS;
+	call_t call;
+
+	for (;;) {
+		mc_shard_lock(fixture->shard);
+		call = the_source.calls[kind];
+		mc_shard_unlock(fixture->shard);
+		if (call.open)
+			return call;
+		assert_true(mc_clock_now(mc_clock_system()) < end);
+		usleep(1000);
+	}
+}
+
+typedef struct {
+	mc_source_kind_t kind;
+	mc_source_result_t result;
+} reply_t;
+
+static void run_reply(mc_shard_t *shard, void *arg)
+{
+	reply_t *reply = arg;
+	call_t call = the_source.calls[reply->kind];
+
+	(void)shard;
+	the_source.calls[reply->kind].open = false;
+	if (reply->result.err)
+		mc_fail(reply->result.err, "by the test");
+	call.done(call.ctx, &reply->result);
+}
+
+/* Answers on the shard; what @reply points to lives until the next call. */
+static void answer(fixture_t *fixture, reply_t *reply)
+{
+	wait_call(fixture, reply->kind);
+	assert_int_equal(mc_shard_post(fixture->shard, run_reply, reply),
+			 MC_OK);
+	/* The next call of the kind shows that this one was taken. */
+	usleep(1000);
+	wait_call(fixture, reply->kind);
+}
+
+static mc_source_record_t target_record(const char *id)
+{
+	mc_source_record_t record = {
+		.name = id,
+		.target = {
+			.service = "s",
+			.address = "10.0.0.1:80",
+			.data_center = "north",
+			.slots = 2,
+			.started = 1,
+		},
+	};
+
+	snprintf(record.target.id, sizeof(record.target.id), "%s", id);
+	return record;
+}
+
+static uint32_t known_targets(fixture_t *fixture, uint32_t wanted)
+{
+	mc_ms_t end = mc_clock_now(mc_clock_system()) + WAIT_MS;
+	uint32_t count;
+
+	do {
+		usleep(1000);
+		mc_shard_lock(fixture->shard);
+		count = fixture->world ? fixture->world->target_count : 0;
+		mc_shard_unlock(fixture->shard);
+	} while (count != wanted && mc_clock_now(mc_clock_system()) < end);
+	return count;
+}
+
+/* Pages of a list, then a watch from the first page's revision on. */
+static void test_list_and_watch(void **state)
+{
+	fixture_t *fixture = *state;
+	mc_source_record_t a = target_record("a"), b = target_record("b");
+	mc_source_record_t bad = { .name = "c", .fault = "slots: expected" };
+	reply_t reply = {
+		.kind = MC_SOURCE_TARGETS,
+		.result = { .revision = 40,
+			    .more = true,
+			    .record_count = 1,
+			    .records = &a },
+	};
+	call_t call = wait_call(fixture, MC_SOURCE_TARGETS);
+
+	assert_true(the_source.announced);
+	assert_false(call.watches);
+	assert_true(call.cheap);
+	answer(fixture, &reply);
+	call = wait_call(fixture, MC_SOURCE_TARGETS);
+	assert_string_equal(call.after, "a");
+	reply.result = (mc_source_result_t){ .revision = 45,
+					     .record_count = 1,
+					     .records = &b };
+	answer(fixture, &reply);
+	call = wait_call(fixture, MC_SOURCE_TARGETS);
+	assert_true(call.watches);
+	assert_int_equal(call.above, 40);
+	assert_int_equal(known_targets(fixture, 2), 2);
+	/* An entry that can't be read names no target; the others stay. */
+	reply.result = (mc_source_result_t){ .revision = 50,
+					     .record_count = 1,
+					     .records = &bad };
+	answer(fixture, &reply);
+	assert_int_equal(known_targets(fixture, 2), 2);
+	assert_int_equal(wait_call(fixture, MC_SOURCE_TARGETS).above, 50);
+}
+
+/* After a gap in the history the list must not be old. */
+static void test_history_gone(void **state)
+{
+	fixture_t *fixture = *state;
+	mc_source_record_t a = target_record("a"), b = target_record("b");
+	reply_t reply = {
+		.kind = MC_SOURCE_TARGETS,
+		.result = { .revision = 40, .record_count = 1, .records = &a },
+	};
+	call_t call;
+
+	answer(fixture, &reply);
+	reply.result = (mc_source_result_t){ .err = MC_ERR_HISTORY_GONE };
+	answer(fixture, &reply);
+	call = wait_call(fixture, MC_SOURCE_TARGETS);
+	assert_false(call.watches);
+	assert_false(call.cheap);
+	reply.result = (mc_source_result_t){ .revision = 90,
+					     .record_count = 1,
+					     .records = &b };
+	answer(fixture, &reply);
+	assert_int_equal(wait_call(fixture, MC_SOURCE_TARGETS).above, 90);
+	/* The old one leaves in its time. */
+	assert_int_equal(known_targets(fixture, 2), 2);
+	assert_int_equal(known_targets(fixture, 1), 1);
+}
+
+/* A version is never followed by an older one; a lost store changes nothing. */
+static void test_map_goes_up(void **state)
+{
+	fixture_t *fixture = *state;
+	mc_map_t *maps[2] = { mc_map_create(7), mc_map_create(5) };
+	mc_source_record_t records[2] = {
+		{ .name = "main", .map = maps[0] },
+		{ .name = "main", .map = maps[1] },
+	};
+	reply_t reply = {
+		.kind = MC_SOURCE_MAP,
+		.result = { .revision = 1,
+			    .record_count = 1,
+			    .records = &records[0] },
+	};
+
+	answer(fixture, &reply);
+	reply.result = (mc_source_result_t){ .revision = 2,
+					     .record_count = 1,
+					     .records = &records[1] };
+	answer(fixture, &reply);
+	reply.result = (mc_source_result_t){ .err = MC_ERR_STORE_UNAVAILABLE };
+	answer(fixture, &reply);
+	mc_shard_lock(fixture->shard);
+	assert_non_null(fixture->world);
+	assert_int_equal(mc_map_version(fixture->world->map), 7);
+	mc_shard_unlock(fixture->shard);
+	assert_true(wait_call(fixture, MC_SOURCE_MAP).watches);
+	mc_map_unref(maps[0]);
+	mc_map_unref(maps[1]);
+}
+
+#define FOLLOW_TEST(test) \
+	cmocka_unit_test_setup_teardown(test, set_up, tear_down)
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		FOLLOW_TEST(test_list_and_watch),
+		FOLLOW_TEST(test_history_gone),
+		FOLLOW_TEST(test_map_goes_up),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/tests/unit/limit_test.c
+++ b/tests/unit/limit_test.c
@@ -6,6 +6,7 @@
 #include <stddef.h>
 #include <cmocka.h>
 
+#include "mc/pace.h"
 #include "mc/limit.h"
 
 static const mc_limit_params_t params = {
@@ -289,6 +290,30 @@
 	assert_int_equal(mc_class_from_name("vip", &klass), MC_ERR_BAD_REQUEST);
 }
 
+/* Whatever the moments of asking, no second gets more than the rate and one. */
+static void test_pace(void **state)
+{
+	const double rate = 2.5;
+	mc_pace_t pace = { 0 };
+	mc_ms_t sent[1000];
+	uint32_t count = 0, i, first = 0;
+	mc_ms_t now = 5000;
+
+	(void)state;
+	for (i = 0; i < 20000; i++, now += i % 7) {
+		if (mc_pace_wait(&pace, rate, now))
+			continue;
+		mc_pace_take(&pace);
+		assert_true(count < MC_ARRAY_LEN(sent));
+		sent[count++] = now;
+		while (now - sent[first] >= 1000)
+			first++;
+		assert_true(count - first <= 4);
+	}
+	assert_true(count > 100);
+	assert_true(mc_pace_wait(&pace, 0, now) > 0);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -302,6 +327,7 @@
 		cmocka_unit_test(test_admission),
 		cmocka_unit_test(test_admission_none),
 		cmocka_unit_test(test_class_names),
+		cmocka_unit_test(test_pace),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- /dev/null
+++ b/tests/unit/platform_test.c
@@ -0,0 +1,218 @@
+/*
+ * Unit tests of the platform's adapter: what stands on the wire, and what
+ * becomes of it.
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <string.h>
+#include <apr_general.h>
+#include <jansson.h>
+#include <cmocka.h>
+
+#include "decode.h"
+#include "mc/platform.h"
+
+#define SERVICES                                                        \
+	"\"services\": [{\"name\": \"a\", \"healthPath\": \"/health\"," \
+	" \"maxConns\": 26, \"warmupS\": 3.0, \"warmupPerS\": 12.5},"   \
+	" {\"name\": \"b\", \"maxConns\": 4}]"
+#define LIMITS                                                              \
+	"\"limits\": {\"maxHeaderBytes\": 16384, \"maxBodyBytes\": 262144," \
+	" \"headerTimeoutMs\": 3000, \"idleTimeoutMs\": 15000}"
+#define ROUTE                                                                    \
+	"\"name\": \"r\", \"hostname\": \"h.example\", \"pathPrefix\": \"/p/\"," \
+	" \"timeoutMs\": 600, \"goalMs\": 60, \"maxAttempts\": 2"
+
+static mc_err_t decode(const char *text, mc_map_t **map)
+{
+	json_t *json = json_loads(text, 0, NULL);
+	mc_err_t err;
+
+	assert_non_null(json);
+	err = decode_map(json, map);
+	json_decref(json);
+	return err;
+}
+
+static void test_map(void **state)
+{
+	mc_map_t *map;
+	const mc_map_route_t *route;
+
+	(void)state;
+	assert_int_equal(decode("{\"version\": 7, " SERVICES ", " LIMITS
+				", \"routes\": [{" ROUTE
+				", \"routeType\": \"idempotent\","
+				" \"priority\": 1, \"gather\": [\"a\", \"b\"],"
+				" \"topK\": 5, \"minCoverage\": 0.75}]}",
+				&map),
+			 MC_OK);
+	assert_int_equal(mc_map_version(map), 7);
+	assert_int_equal(mc_map_limits(map)->body_bytes, 262144);
+	assert_int_equal(mc_map_limits(map)->head_time, 3000);
+	assert_int_equal(mc_map_service(map, 0)->connections_max, 26);
+	assert_int_equal(mc_map_service(map, 0)->cold_time, 3000);
+	assert_true(mc_map_service(map, 0)->cold_rate == 12.5);
+	route = mc_map_find(map, "h.example", "/p/q");
+	assert_non_null(route);
+	assert_int_equal(route->shape, MC_MAP_ALL);
+	assert_true(route->repeatable);
+	assert_int_equal(route->count, 2);
+	assert_int_equal(route->records_max, 5);
+	assert_int_equal(route->goal, 60);
+	assert_int_equal(route->rank, 1);
+	mc_map_unref(map);
+}
+
+/* A kind that is not known may not be repeated. */
+static void test_map_split(void **state)
+{
+	mc_map_t *map;
+	const mc_map_route_t *route;
+
+	(void)state;
+	assert_int_equal(
+		decode("{\"version\": 1, " SERVICES ", \"routes\": [{" ROUTE
+		       ", \"routeType\": \"other\", \"trafficSplit\": ["
+		       "{\"backend\": \"a\", \"weight\": 1},"
+		       "{\"backend\": \"b\", \"weight\": 3}]}]}",
+		       &map),
+		MC_OK);
+	route = mc_map_find(map, "h.example", "/p/");
+	assert_int_equal(route->shape, MC_MAP_ONE);
+	assert_false(route->repeatable);
+	assert_true(mc_map_member(map, route, 1)->weight == 3);
+	mc_map_unref(map);
+}
+
+static void test_map_faults(void **state)
+{
+	static const char *const bad[] = {
+		"{}",
+		"{\"version\": \"7\"}",
+		"{\"version\": 7.5}",
+		"{\"version\": 7, \"routes\": [{}]}",
+		"{\"version\": 7, \"routes\": [{" ROUTE "}]}",
+		"{\"version\": 7, \"routes\": [{" ROUTE
+		", \"backend\": \"none\"}]}",
+		"{\"version\": 7, " SERVICES ", \"routes\": [{" ROUTE
+		", \"gather\": [1]}]}",
+		"{\"version\": 7, \"services\": [{}]}",
+	};
+	mc_map_t *map;
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < MC_ARRAY_LEN(bad); i++)
+		assert_int_equal(decode(bad[i], &map), MC_ERR_BAD_CONFIG);
+}
+
+#define TARGET(state, cold, seq, born)                                        \
+	"{\"backend\": \"a\", \"address\": \"10.0.0.9:80\", \"zone\": \"n\"," \
+	" \"version\": \"v1\", \"slots\": 2, \"state\": " state               \
+	", \"warmupLeftMs\": " cold ", \"seq\": " seq ", \"born\": " born "}"
+
+static mc_err_t decode_entry(const char *text, mc_target_entry_t *entry)
+{
+	json_t *json = json_loads(text, JSON_DECODE_ANY, NULL);
+	mc_err_t err;
+
+	assert_non_null(json);
+	err = decode_target("i-1", json, entry);
+	json_decref(json);
+	return err;
+}
+
+static void test_target(void **state)
+{
+	static const char *const bad[] = {
+		TARGET("\"gone\"", "0", "4", "1"),
+		TARGET("1", "0", "4", "1"),
+		TARGET("\"ready\"", "\"0\"", "4", "1"),
+		TARGET("\"ready\"", "0", "4.5", "1"),
+		TARGET("\"ready\"", "0", "4", "1.5"),
+		TARGET("\"ready\"", "0", "4", "null"),
+		"{\"backend\": \"a\"}",
+		"[]",
+		"null",
+		"\"text\"",
+	};
+	mc_target_entry_t entry;
+	size_t i;
+
+	(void)state;
+	assert_int_equal(decode_entry(TARGET("\"draining\"", "1500", "4",
+					     "1787228322034"),
+				      &entry),
+			 MC_OK);
+	assert_string_equal(entry.id, "i-1");
+	assert_string_equal(entry.service, "a");
+	assert_string_equal(entry.data_center, "n");
+	assert_true(entry.draining);
+	assert_int_equal(entry.cold_left, 1500);
+	assert_int_equal(entry.started, 1787228322034);
+	for (i = 0; i < MC_ARRAY_LEN(bad); i++)
+		assert_int_equal(decode_entry(bad[i], &entry),
+				 MC_ERR_BAD_REQUEST);
+}
+
+static void test_dialect(void **state)
+{
+	const mc_dialect_t *dialect = mc_platform_dialect();
+	const mc_h1_header_t headers[] = {
+		{ "host", "h" },
+		{ "mangocove-attempt-id", "9c41" },
+		{ "Mangocove-Deadline-Ms", "800" },
+	};
+	const mc_h1_header_t shed[] = {
+		{ "Mangocove-Not-Executed", "1" },
+		{ "Mangocove-Server-Load", "3,1,8" },
+	};
+	mc_h1_message_t message = { .header_count = 3, .headers = headers };
+	mc_reply_t reply;
+	mc_call_t call;
+	char lines[256];
+
+	(void)state;
+	dialect->read_call(&message, &call);
+	assert_string_equal(call.host, "h");
+	assert_string_equal(call.id, "9c41");
+	assert_int_equal(call.time_left, 800);
+	message = (mc_h1_message_t){ .status = 503,
+				     .header_count = 2,
+				     .headers = shed };
+	dialect->read_reply(&message, &reply);
+	assert_int_equal(reply.kind, MC_REPLY_REFUSED);
+	assert_true(reply.load_known);
+	assert_int_equal(reply.waiting, 1);
+	/* A status alone does not say that it has not run, but for 421. */
+	message.header_count = 0;
+	dialect->read_reply(&message, &reply);
+	assert_int_equal(reply.kind, MC_REPLY_RAN);
+	message.status = 421;
+	dialect->read_reply(&message, &reply);
+	assert_int_equal(reply.kind, MC_REPLY_REPLACED);
+	assert_true(dialect->write_send(lines, sizeof(lines), "i-1", 250) > 0);
+	assert_string_equal(lines, "Mangocove-Deadline-Ms: 250\r\n"
+				   "Mangocove-Expect-Instance: i-1\r\n");
+	assert_false(dialect->passes_on("mangocove-deadline-ms"));
+	assert_true(dialect->passes_on("Mangocove-Attempt-Id"));
+	assert_true(dialect->passes_back("Mangocove-Server-Stamp"));
+	assert_true(dialect->is_promise(503));
+	assert_false(dialect->is_promise(502));
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_map),
+		cmocka_unit_test(test_map_split),
+		cmocka_unit_test(test_map_faults),
+		cmocka_unit_test(test_target),
+		cmocka_unit_test(test_dialect),
+	};
+
+	apr_initialize();
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/unit/replica_test.c
@@ -0,0 +1,127 @@
+/*
+ * Unit tests of the replica library.
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <cmocka.h>
+
+#include "mc/replica.h"
+
+static const double usual = 20;
+
+static mc_replica_level_t level(const mc_health_t *health, mc_ms_t now)
+{
+	return mc_health_level(health, 0, usual, now);
+}
+
+/* Out at once when unreachable, for longer each time, then one probe. */
+static void test_unreachable(void **state)
+{
+	mc_health_t health = { 0 };
+	mc_ms_t first, now = 1000;
+
+	(void)state;
+	assert_true(mc_health_failed(&health, MC_REPLICA_UNREACHABLE, now));
+	assert_int_equal(level(&health, now), MC_REPLICA_OUT);
+	first = health.out_until - now;
+	now = health.out_until;
+	assert_int_equal(level(&health, now), MC_REPLICA_PROBE);
+	mc_health_probed(&health, now);
+	assert_int_equal(level(&health, now), MC_REPLICA_OUT);
+	now = health.out_until;
+	mc_health_failed(&health, MC_REPLICA_UNREACHABLE, now);
+	assert_true(health.out_until - now > first);
+	now = health.out_until;
+	mc_health_answered(&health, 20, usual, now);
+	assert_int_equal(level(&health, now), MC_REPLICA_GOOD);
+}
+
+/* One error does not take a target out; a share of them does. */
+static void test_errors(void **state)
+{
+	mc_health_t health = { 0 };
+	bool out = false;
+	int i;
+
+	(void)state;
+	assert_false(mc_health_failed(&health, MC_REPLICA_ERROR, 0));
+	assert_int_equal(level(&health, 0), MC_REPLICA_GOOD);
+	for (i = 1; i < 20 && !out; i++) {
+		mc_health_answered(&health, 20, usual, i);
+		out = mc_health_failed(&health, MC_REPLICA_ERROR, i);
+	}
+	assert_true(out);
+}
+
+static void test_slow(void **state)
+{
+	mc_health_t health = { 0 };
+	mc_ms_t now = 0;
+
+	(void)state;
+	for (; now < 10; now++)
+		mc_health_answered(&health, 200, usual, now);
+	assert_true(mc_health_slowness(&health, now) > 5);
+	/* It fades, so that the target is tried again. */
+	assert_true(mc_health_slowness(&health, now + 10000) < 1.1);
+	assert_int_equal(mc_health_level(&health, 200, usual, now),
+			 MC_REPLICA_SILENT);
+}
+
+static uint32_t pick(const mc_candidate_t *candidates, uint32_t count,
+		     bool careful)
+{
+	mc_random_t random;
+
+	mc_random_seed(&random, 1);
+	return mc_replica_pick(candidates, count, careful, &random);
+}
+
+static void test_pick(void **state)
+{
+	mc_candidate_t both[2] = {
+		{ .room = true, .slowness = 1 },
+		{ .room = true, .slowness = 1 },
+	};
+
+	(void)state;
+	both[1].local = true;
+	assert_int_equal(pick(both, 2, false), 1);
+	both[1].load = 1;
+	assert_int_equal(pick(both, 2, false), 0);
+	both[0].leaving = true;
+	assert_int_equal(pick(both, 2, false), 1);
+	both[1].level = MC_REPLICA_OUT;
+	assert_int_equal(pick(both, 2, false), 0);
+	both[0].room = false;
+	assert_int_equal(pick(both, 2, false), 1);
+	both[1].room = false;
+	assert_int_equal(pick(both, 2, false), MC_PICK_NONE);
+}
+
+/* A request that may run only once finds nothing out. */
+static void test_careful(void **state)
+{
+	const mc_candidate_t both[2] = {
+		{ .room = true, .slowness = 1, .level = MC_REPLICA_PROBE },
+		{ .room = true, .slowness = 1 },
+	};
+
+	(void)state;
+	assert_int_equal(pick(both, 2, false), 0);
+	assert_int_equal(pick(both, 2, true), 1);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_unreachable),
+		cmocka_unit_test(test_errors),
+		cmocka_unit_test(test_slow),
+		cmocka_unit_test(test_pick),
+		cmocka_unit_test(test_careful),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/tests/unit/retry_test.c
+++ b/tests/unit/retry_test.c
@@ -6,6 +6,8 @@
 #include <stddef.h>
 #include <cmocka.h>
 
+#include "mc/again.h"
+#include "mc/hedge_time.h"
 #include "mc/retry.h"
 
 static void test_budget(void **state)
@@ -128,6 +130,48 @@
 	assert_int_equal(others.reason, MC_ERR_DUPLICATE);
 }
 
+static void test_again(void **state)
+{
+	mc_tries_t tries = {
+		.repeatable = true, .runs = 1, .runs_max = 2, .sends = 1
+	};
+
+	(void)state;
+	assert_int_equal(mc_again(&tries, MC_END_BROKEN), MC_AGAIN_PAID);
+	assert_int_equal(mc_again(&tries, MC_END_FAILED), MC_AGAIN_PAID);
+	tries.repeatable = false;
+	/* What may have run once is never sent again. */
+	assert_int_equal(mc_again(&tries, MC_END_BROKEN), MC_AGAIN_NO);
+	assert_int_equal(mc_again(&tries, MC_END_FAILED), MC_AGAIN_NO);
+	tries.runs = 0;
+	assert_int_equal(mc_again(&tries, MC_END_NOT_SENT), MC_AGAIN_FREE);
+	assert_int_equal(mc_again(&tries, MC_END_REPLACED), MC_AGAIN_FREE);
+	assert_int_equal(mc_again(&tries, MC_END_REFUSED), MC_AGAIN_PAID);
+	tries = (mc_tries_t){
+		.repeatable = true, .runs = 2, .runs_max = 2, .sends = 2
+	};
+	assert_int_equal(mc_again(&tries, MC_END_BROKEN), MC_AGAIN_NO);
+	tries.sends = 100;
+	assert_int_equal(mc_again(&tries, MC_END_NOT_SENT), MC_AGAIN_NO);
+	assert_true(mc_end_ran(MC_END_BROKEN));
+	assert_false(mc_end_ran(MC_END_REFUSED));
+}
+
+static void test_hedge_time(void **state)
+{
+	mc_quantile_t few = { .value = 5, .samples = 3 };
+	mc_quantile_t usual = { .value = 8, .samples = 1000 };
+	mc_quantile_t high = { .value = 20, .samples = 1000 };
+
+	(void)state;
+	assert_int_equal(mc_hedge_time(&usual, &few, 100), 40);
+	assert_int_equal(mc_hedge_time(&usual, &high, 100), 20);
+	/* Early enough for a second target to answer in time... */
+	assert_int_equal(mc_hedge_time(&usual, &high, 40), 16);
+	/* ... but not before most answers come. */
+	assert_int_equal(mc_hedge_time(&usual, &high, 10), 12);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -137,6 +181,8 @@
 		cmocka_unit_test(test_wanted),
 		cmocka_unit_test(test_once_answer),
 		cmocka_unit_test(test_once_refusals),
+		cmocka_unit_test(test_again),
+		cmocka_unit_test(test_hedge_time),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
