tier: a request that no target ran is told so; system tests on stand-ins

Cause: a request that may run once and that every searcher shed was answered 502 instead of 503, now and then: sending it already marked it as maybe run, so the answer held only while the budget paid for another try. Ruled out: the stand-in's count of runs (attempt ids are unique). Change: only an end that leaves the run in doubt, or a try still open, marks it.

--- a/src/tier/ready.c
+++ b/src/tier/ready.c
@@ -56,6 +56,9 @@
 			"# HELP mangocove_targets targets that are known\n"
 			"# TYPE mangocove_targets gauge\n"
 			"mangocove_targets %u\n"
+			"# HELP mangocove_instances instances that are known\n"
+			"# TYPE mangocove_instances gauge\n"
+			"mangocove_instances %u\n"
 			"# HELP mangocove_log_lines_dropped lines not written\n"
 			"# TYPE mangocove_log_lines_dropped counter\n"
 			"mangocove_log_lines_dropped %llu\n",
@@ -64,6 +67,7 @@
 					  tier->world->map)
 				: 0ULL,
 			tier->world ? tier->world->target_count : 0,
+			tier->instances,
 			(unsigned long long)mc_log_dropped(tier->log));
 		fclose(out);
 	}
--- a/src/tier/send.c
+++ b/src/tier/send.c
@@ -95,7 +95,6 @@
 	if (part->tried_count < TIER_TRIED_MAX)
 		part->tried[part->tried_count++] = target->handle;
 	request->sends++;
-	request->may_have_run = true;
 	mc_count(mc_shard_counters(tier->shard),
 		 extra ? MC_COUNTER_EXTRAS : MC_COUNTER_SUB_QUERIES, 1);
 }
--- /dev/null
+++ b/tests/system/raw_http.c
@@ -0,0 +1,330 @@
+/*
+ * Threads and sockets of the raw server and client.
+ */
+#include <arpa/inet.h>
+#include <errno.h>
+#include <poll.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "raw_http.h"
+
+enum {
+	CONNECTIONS_MAX = 1024,
+	BACKLOG = 256,
+};
+
+/* A slot of a connection; its thread sets @fd to -1 when it ends. */
+typedef struct {
+	raw_server_t *server;
+	pthread_t thread;
+	bool used;
+	int fd;
+} connection_t;
+
+struct raw_server_t {
+	pthread_mutex_t lock;
+	pthread_t thread;
+	int listener;
+	uint16_t port;
+	bool stopping;
+	bool refuses;
+	uint32_t taken;
+	raw_handler_t handler;
+	void *ctx;
+	connection_t connections[CONNECTIONS_MAX];
+};
+
+bool raw_header(const char *head, const char *name, char *value, size_t size)
+{
+	size_t name_size = strlen(name);
+	const char *line = strstr(head, "\r\n");
+	size_t length;
+
+	for (; line && line[2] != '\r'; line = strstr(line + 2, "\r\n")) {
+		if (strncasecmp(line + 2, name, name_size) ||
+		    line[2 + name_size] != ':')
+			continue;
+		line += 2 + name_size + 1;
+		line += strspn(line, " ");
+		length = strcspn(line, "\r");
+		if (length >= size)
+			length = size - 1;
+		memcpy(value, line, length);
+		value[length] = '\0';
+		return true;
+	}
+	return false;
+}
+
+/* Reads up to the empty line; @extra receives bytes behind it. */
+static bool read_head(int fd, char *head, size_t *extra)
+{
+	size_t size = 0;
+	char *end = NULL;
+
+	*extra = 0;
+	while (!end) {
+		ssize_t got = recv(fd, head + size, RAW_HEAD_MAX - 1 - size, 0);
+
+		if (got <= 0)
+			return false;
+		size += (size_t)got;
+		head[size] = '\0';
+		end = strstr(head, "\r\n\r\n");
+		if (!end && size == RAW_HEAD_MAX - 1)
+			return false;
+	}
+	*extra = size - (size_t)(end + 4 - head);
+	return true;
+}
+
+static bool read_rest(int fd, char *body, size_t had, size_t wanted)
+{
+	while (had < wanted) {
+		ssize_t got = recv(fd, body + had, wanted - had, 0);
+
+		if (got <= 0)
+			return false;
+		had += (size_t)got;
+	}
+	return true;
+}
+
+static bool read_request(int fd, raw_request_t *request)
+{
+	char length[32];
+	size_t extra, head_size;
+
+	if (!read_head(fd, request->head, &extra))
+		return false;
+	head_size =
+		(size_t)(strstr(request->head, "\r\n\r\n") + 4 - request->head);
+	request->body_size = 0;
+	if (raw_header(request->head, "Content-Length", length, sizeof(length)))
+		request->body_size = strtoul(length, NULL, 10);
+	if (request->body_size > RAW_BODY_MAX)
+		return false;
+	if (extra > request->body_size)
+		extra = request->body_size;
+	memcpy(request->body, request->head + head_size, extra);
+	request->head[head_size] = '\0';
+	request->body[request->body_size] = '\0';
+	return sscanf(request->head, "%15s %511s", request->method,
+		      request->target) == 2 &&
+	       read_rest(fd, request->body, extra, request->body_size);
+}
+
+static bool send_all(int fd, const char *data, size_t size)
+{
+	while (size) {
+		ssize_t sent = send(fd, data, size, MSG_NOSIGNAL);
+
+		if (sent <= 0)
+			return false;
+		data += sent;
+		size -= (size_t)sent;
+	}
+	return true;
+}
+
+static void serve(connection_t *connection, int fd)
+{
+	const struct linger reset = { .l_onoff = 1 };
+	raw_server_t *server = connection->server;
+	raw_request_t *request = calloc(1, sizeof(*request));
+	char *answer = malloc(RAW_ANSWER_MAX);
+	raw_next_t next = RAW_KEEP;
+
+	request->body = malloc(RAW_BODY_MAX + 1);
+	while (next == RAW_KEEP && read_request(fd, request)) {
+		size_t size = 0;
+
+		next = server->handler(server->ctx, request, answer, &size);
+		if (!send_all(fd, answer, size))
+			break;
+	}
+	if (next == RAW_RESET)
+		setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+	free(request->body);
+	free(request);
+	free(answer);
+}
+
+static void *run_connection(void *arg)
+{
+	connection_t *connection = arg;
+	raw_server_t *server = connection->server;
+	int fd = connection->fd;
+
+	serve(connection, fd);
+	pthread_mutex_lock(&server->lock);
+	connection->fd = -1;
+	close(fd);
+	pthread_mutex_unlock(&server->lock);
+	return NULL;
+}
+
+static void take(raw_server_t *server, int fd)
+{
+	connection_t *slot = NULL;
+	uint32_t i;
+
+	pthread_mutex_lock(&server->lock);
+	server->taken++;
+	for (i = 0; !slot && i < CONNECTIONS_MAX; i++)
+		if (!server->connections[i].used ||
+		    server->connections[i].fd < 0)
+			slot = &server->connections[i];
+	if (!slot || server->refuses || server->stopping) {
+		close(fd);
+		pthread_mutex_unlock(&server->lock);
+		return;
+	}
+	if (slot->used)
+		pthread_join(slot->thread, NULL);
+	slot->used = true;
+	slot->server = server;
+	slot->fd = fd;
+	pthread_create(&slot->thread, NULL, run_connection, slot);
+	pthread_mutex_unlock(&server->lock);
+}
+
+static void *run_server(void *arg)
+{
+	raw_server_t *server = arg;
+	int fd;
+
+	for (;;) {
+		fd = accept(server->listener, NULL, NULL);
+		if (fd >= 0)
+			take(server, fd);
+		else if (errno != EINTR && errno != ECONNABORTED)
+			return NULL;
+	}
+}
+
+raw_server_t *raw_server_start(raw_handler_t handler, void *ctx)
+{
+	struct sockaddr_in address = {
+		.sin_family = AF_INET,
+		.sin_addr.s_addr = htonl(INADDR_LOOPBACK),
+	};
+	socklen_t size = sizeof(address);
+	raw_server_t *server = calloc(1, sizeof(*server));
+
+	pthread_mutex_init(&server->lock, NULL);
+	server->handler = handler;
+	server->ctx = ctx;
+	server->listener = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	if (bind(server->listener, (struct sockaddr *)&address, size) ||
+	    listen(server->listener, BACKLOG) ||
+	    getsockname(server->listener, (struct sockaddr *)&address, &size))
+		abort();
+	server->port = ntohs(address.sin_port);
+	pthread_create(&server->thread, NULL, run_server, server);
+	return server;
+}
+
+uint16_t raw_server_port(const raw_server_t *server)
+{
+	return server->port;
+}
+
+void raw_server_cut(raw_server_t *server)
+{
+	uint32_t i;
+
+	pthread_mutex_lock(&server->lock);
+	for (i = 0; i < CONNECTIONS_MAX; i++)
+		if (server->connections[i].used &&
+		    server->connections[i].fd >= 0)
+			shutdown(server->connections[i].fd, SHUT_RDWR);
+	pthread_mutex_unlock(&server->lock);
+}
+
+void raw_server_refuse(raw_server_t *server, bool refuse)
+{
+	pthread_mutex_lock(&server->lock);
+	server->refuses = refuse;
+	pthread_mutex_unlock(&server->lock);
+}
+
+uint32_t raw_server_connections(raw_server_t *server)
+{
+	uint32_t taken;
+
+	pthread_mutex_lock(&server->lock);
+	taken = server->taken;
+	pthread_mutex_unlock(&server->lock);
+	return taken;
+}
+
+void raw_server_stop(raw_server_t *server)
+{
+	uint32_t i;
+
+	if (!server)
+		return;
+	pthread_mutex_lock(&server->lock);
+	server->stopping = true;
+	pthread_mutex_unlock(&server->lock);
+	shutdown(server->listener, SHUT_RDWR);
+	pthread_join(server->thread, NULL);
+	close(server->listener);
+	raw_server_cut(server);
+	for (i = 0; i < CONNECTIONS_MAX; i++)
+		if (server->connections[i].used)
+			pthread_join(server->connections[i].thread, NULL);
+	pthread_mutex_destroy(&server->lock);
+	free(server);
+}
+
+int raw_connect(uint16_t port)
+{
+	struct sockaddr_in address = {
+		.sin_family = AF_INET,
+		.sin_port = htons(port),
+		.sin_addr.s_addr = htonl(INADDR_LOOPBACK),
+	};
+	struct timeval limit = { .tv_sec = HARNESS_CALL_MS / 1000 };
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+	if (connect(fd, (struct sockaddr *)&address, sizeof(address))) {
+		close(fd);
+		return -1;
+	}
+	setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
+	return fd;
+}
+
+bool raw_send(int fd, const char *text)
+{
+	return send_all(fd, text, strlen(text));
+}
+
+int raw_read(int fd, char *head, char *body, size_t size)
+{
+	char length[32] = "0";
+	size_t extra, wanted, head_size;
+	int status = 0;
+
+	if (!read_head(fd, head, &extra))
+		return 0;
+	head_size = (size_t)(strstr(head, "\r\n\r\n") + 4 - head);
+	raw_header(head, "Content-Length", length, sizeof(length));
+	wanted = strtoul(length, NULL, 10);
+	if (wanted >= size || extra > wanted)
+		return 0;
+	memcpy(body, head + head_size, extra);
+	body[wanted] = '\0';
+	head[head_size] = '\0';
+	if (!read_rest(fd, body, extra, wanted))
+		return 0;
+	sscanf(head, "HTTP/1.1 %d", &status);
+	return status;
+}
--- /dev/null
+++ b/tests/system/searchers.c
@@ -0,0 +1,286 @@
+/*
+ * A searcher's record i is sixteen bytes, the first of which falls with i, so
+ * that a test knows the merged answer.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "searchers.h"
+
+enum {
+	RUNS_MAX = 65536,
+	NAME_SIZE = 64,
+	RECORD_SIZE = 16,
+	US_PER_MS = 1000,
+};
+
+struct searcher_t {
+	pthread_mutex_t lock;
+	raw_server_t *server;
+	char service[NAME_SIZE];
+	char data_center[NAME_SIZE];
+	char id[SEARCHER_ID_SIZE];
+	unsigned int number;
+	unsigned int incarnation;
+	searcher_fault_t fault;
+	int fault_times;
+	mc_ms_t delay;
+	uint32_t arrivals;
+	uint32_t run_count;
+	char (*runs)[SEARCHER_ID_SIZE];
+	char last[RAW_HEAD_MAX];
+};
+
+static void name_itself(searcher_t *searcher)
+{
+	snprintf(searcher->id, sizeof(searcher->id), "i-%.12s-%u-%u",
+		 searcher->service, searcher->number, searcher->incarnation);
+}
+
+static searcher_fault_t take_fault(searcher_t *searcher)
+{
+	if (searcher->fault_times <= 0)
+		return SEARCHER_FINE;
+	searcher->fault_times--;
+	return searcher->fault;
+}
+
+static size_t put_answer(char *out, int status, const char *attempt,
+			 const char *signature, const char *extra,
+			 const char *body, size_t size)
+{
+	size_t used = (size_t)sprintf(
+		out,
+		"HTTP/1.1 %d X\r\nContent-Length: %zu\r\n"
+		"Mangocove-Attempt-Id: %s\r\nMangocove-Server-Load: 1,0,2\r\n"
+		"%s%s%s%s\r\n",
+		status, size, attempt, extra,
+		signature ? "Mangocove-Server-Stamp: " : "",
+		signature ? signature : "", signature ? "\r\n" : "");
+
+	memcpy(out + used, body, size);
+	return used + size;
+}
+
+static size_t put_records(const searcher_t *searcher, char *body)
+{
+	int i;
+
+	memset(body, 0, SEARCHER_RECORDS * RECORD_SIZE);
+	for (i = 0; i < SEARCHER_RECORDS; i++) {
+		/* In no order, and spread over the searchers. */
+		int place = (i * 3) % SEARCHER_RECORDS;
+
+		body[place * RECORD_SIZE] = (char)(100 - i);
+		snprintf(body + place * RECORD_SIZE + 1, RECORD_SIZE - 1,
+			 "%.10s", searcher->service);
+	}
+	return SEARCHER_RECORDS * RECORD_SIZE;
+}
+
+static raw_next_t answer_as(const searcher_t *searcher, searcher_fault_t fault,
+			    const char *attempt, char *out, size_t *size)
+{
+	char body[SEARCHER_RECORDS * RECORD_SIZE], signature[2 * NAME_SIZE];
+	size_t body_size = put_records(searcher, body);
+
+	snprintf(signature, sizeof(signature), "%s.%s", searcher->id, attempt);
+	switch (fault) {
+	case SEARCHER_LOSES:
+		return RAW_CLOSE;
+	case SEARCHER_RESETS:
+		return RAW_RESET;
+	case SEARCHER_SHEDS:
+		*size = put_answer(out, 503, attempt, NULL,
+				   "Mangocove-Not-Executed: 1\r\n", "", 0);
+		return RAW_KEEP;
+	case SEARCHER_FAILS:
+		*size = put_answer(out, 500, attempt, signature, "", "oops", 4);
+		return RAW_KEEP;
+	case SEARCHER_LIES_BUSY:
+		*size = put_answer(out, 503, attempt, signature, "", "", 0);
+		return RAW_KEEP;
+	case SEARCHER_TRUNCATES:
+		*size = put_answer(out, 200, attempt, signature, "", body,
+				   body_size) -
+			5;
+		return RAW_CLOSE;
+	case SEARCHER_REPEATS:
+		*size = put_answer(out, 200, attempt, signature, "", body,
+				   body_size);
+		*size += put_answer(out + *size, 200, attempt, signature, "",
+				    body, body_size);
+		return RAW_KEEP;
+	case SEARCHER_MIXES:
+		*size = put_answer(out, 200, "another", "another.sig", "",
+				   "other", 5);
+		*size += put_answer(out + *size, 200, attempt, signature, "",
+				    body, body_size);
+		return RAW_KEEP;
+	case SEARCHER_UNFRAMED:
+		*size = (size_t)sprintf(out,
+					"HTTP/1.1 200 X\r\n"
+					"Mangocove-Attempt-Id: %s\r\n"
+					"Mangocove-Server-Stamp: %s\r\n\r\n",
+					attempt, signature);
+		memcpy(out + *size, body, body_size);
+		*size += body_size;
+		return RAW_CLOSE;
+	case SEARCHER_UNSIGNED:
+		*size = put_answer(out, 200, attempt, NULL, "", body,
+				   body_size);
+		return RAW_KEEP;
+	case SEARCHER_FINE:
+		break;
+	}
+	*size = put_answer(out, 200, attempt, signature, "", body, body_size);
+	return RAW_KEEP;
+}
+
+static raw_next_t handle(void *ctx, const raw_request_t *request, char *answer,
+			 size_t *size)
+{
+	searcher_t *searcher = ctx;
+	char attempt[SEARCHER_ID_SIZE] = "", expected[SEARCHER_ID_SIZE] = "";
+	searcher_fault_t fault;
+	mc_ms_t delay;
+	raw_next_t next;
+
+	raw_header(request->head, "Mangocove-Attempt-Id", attempt,
+		   sizeof(attempt));
+	raw_header(request->head, "Mangocove-Expect-Instance", expected,
+		   sizeof(expected));
+	pthread_mutex_lock(&searcher->lock);
+	searcher->arrivals++;
+	snprintf(searcher->last, sizeof(searcher->last), "%s%s", request->head,
+		 request->body_size < RAW_HEAD_MAX / 2 ? request->body : "");
+	if (*expected && strcmp(expected, searcher->id)) {
+		pthread_mutex_unlock(&searcher->lock);
+		*size = (size_t)sprintf(answer,
+					"HTTP/1.1 421 X\r\nContent-Length: "
+					"0\r\nMangocove-Attempt-Id: %s\r\n\r\n",
+					attempt);
+		return RAW_KEEP;
+	}
+	fault = take_fault(searcher);
+	delay = searcher->delay;
+	if (fault != SEARCHER_SHEDS && searcher->run_count < RUNS_MAX)
+		snprintf(searcher->runs[searcher->run_count++],
+			 SEARCHER_ID_SIZE, "%s", attempt);
+	pthread_mutex_unlock(&searcher->lock);
+	if (delay)
+		usleep((useconds_t)(delay * US_PER_MS));
+	pthread_mutex_lock(&searcher->lock);
+	next = answer_as(searcher, fault, attempt, answer, size);
+	pthread_mutex_unlock(&searcher->lock);
+	return next;
+}
+
+searcher_t *searcher_start(const char *service, const char *data_center,
+			   unsigned int number)
+{
+	searcher_t *searcher = calloc(1, sizeof(*searcher));
+
+	pthread_mutex_init(&searcher->lock, NULL);
+	snprintf(searcher->service, NAME_SIZE, "%s", service);
+	snprintf(searcher->data_center, NAME_SIZE, "%s", data_center);
+	searcher->number = number;
+	searcher->runs = calloc(RUNS_MAX, sizeof(*searcher->runs));
+	name_itself(searcher);
+	searcher->server = raw_server_start(handle, searcher);
+	return searcher;
+}
+
+void searcher_stop(searcher_t *searcher)
+{
+	if (!searcher)
+		return;
+	raw_server_stop(searcher->server);
+	free(searcher->runs);
+	free(searcher);
+}
+
+void searcher_register(searcher_t *searcher, objects_t *objects,
+		       const char *state)
+{
+	char address[NAME_SIZE];
+
+	snprintf(address, sizeof(address), "127.0.0.1:%u",
+		 raw_server_port(searcher->server));
+	objects_put(objects, "servers", searcher->id,
+		    json_pack("{ss ss ss ss si ss si si sI}", "backend",
+			      searcher->service, "address", address, "zone",
+			      searcher->data_center, "version", "v1", "slots",
+			      2, "state", state, "warmupLeftMs", 0, "seq", 1,
+			      "born",
+			      (json_int_t)1000 + searcher->incarnation));
+}
+
+const char *searcher_id(const searcher_t *searcher)
+{
+	return searcher->id;
+}
+
+void searcher_fault(searcher_t *searcher, searcher_fault_t fault, int times)
+{
+	pthread_mutex_lock(&searcher->lock);
+	searcher->fault = fault;
+	searcher->fault_times = times;
+	pthread_mutex_unlock(&searcher->lock);
+}
+
+void searcher_delay(searcher_t *searcher, mc_ms_t delay)
+{
+	pthread_mutex_lock(&searcher->lock);
+	searcher->delay = delay;
+	pthread_mutex_unlock(&searcher->lock);
+}
+
+void searcher_replace(searcher_t *searcher)
+{
+	pthread_mutex_lock(&searcher->lock);
+	searcher->incarnation++;
+	name_itself(searcher);
+	pthread_mutex_unlock(&searcher->lock);
+}
+
+uint32_t searcher_runs(searcher_t *searcher, const char *id)
+{
+	uint32_t count = 0, i;
+
+	pthread_mutex_lock(&searcher->lock);
+	for (i = 0; i < searcher->run_count; i++)
+		if (!id || !strcmp(searcher->runs[i], id))
+			count++;
+	pthread_mutex_unlock(&searcher->lock);
+	return count;
+}
+
+uint32_t searcher_arrivals(searcher_t *searcher)
+{
+	uint32_t count;
+
+	pthread_mutex_lock(&searcher->lock);
+	count = searcher->arrivals;
+	pthread_mutex_unlock(&searcher->lock);
+	return count;
+}
+
+uint32_t searcher_connections(searcher_t *searcher)
+{
+	return raw_server_connections(searcher->server);
+}
+
+void searcher_cut(searcher_t *searcher)
+{
+	raw_server_cut(searcher->server);
+}
+
+void searcher_last(searcher_t *searcher, char *head, size_t size)
+{
+	pthread_mutex_lock(&searcher->lock);
+	snprintf(head, size, "%s", searcher->last);
+	pthread_mutex_unlock(&searcher->lock);
+}
--- /dev/null
+++ b/tests/system/site.c
@@ -0,0 +1,255 @@
+/*
+ * Sets up the site and asks it.
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+#include <cmocka.h>
+
+#include "site.h"
+
+enum {
+	PATH_SIZE = 512,
+	SETTINGS_SIZE = 2048,
+};
+
+static const char *const shard_names[SITE_SHARDS] = { "shard0", "shard1",
+						      "shard2", "shard3" };
+
+static json_t *route(const char *name, const char *prefix, const char *kind)
+{
+	return json_pack("{ss ss ss ss si si si si}", "name", name, "hostname",
+			 "site.example", "pathPrefix", prefix, "routeType",
+			 kind, "timeoutMs", 2000, "goalMs", 400, "priority", 1,
+			 "maxAttempts", 2);
+}
+
+static json_t *services(void)
+{
+	json_t *list = json_array();
+	int i;
+
+	for (i = 0; i < SITE_SHARDS; i++)
+		json_array_append_new(list, json_pack("{ss si}", "name",
+						      shard_names[i],
+						      "maxConns", 64));
+	json_array_append_new(
+		list, json_pack("{ss si}", "name", "single", "maxConns", 64));
+	return list;
+}
+
+void site_configure(site_t *site, json_t *extra)
+{
+	json_t *routes = json_array();
+	json_t *all = route("all", "/all/", "idempotent");
+	json_t *one = route("one", "/one/", "idempotent");
+	json_t *once = route("once", "/once/", "non_idempotent");
+	json_t *gather = json_array();
+	int i;
+
+	for (i = 0; i < SITE_SHARDS; i++)
+		json_array_append_new(gather, json_string(shard_names[i]));
+	json_object_set_new(all, "gather", gather);
+	json_object_set_new(all, "topK", json_integer(6));
+	json_object_set_new(all, "minCoverage", json_real(0.75));
+	json_object_set_new(one, "backend", json_string("single"));
+	json_object_set_new(once, "backend", json_string("single"));
+	json_array_append_new(routes, all);
+	json_array_append_new(routes, one);
+	json_array_append_new(routes, once);
+	if (extra)
+		json_array_append_new(routes, extra);
+	site->version += 3;
+	objects_put(site->objects, "config", "main",
+		    json_pack("{sI so so s{si si si si}}", "version",
+			      (json_int_t)site->version, "routes", routes,
+			      "services", services(), "limits",
+			      "maxHeaderBytes", 16384, "maxBodyBytes", 65536,
+			      "headerTimeoutMs", 3000, "idleTimeoutMs", 15000));
+}
+
+static void write_settings(const site_t *site, uint32_t index, const char *path)
+{
+	const site_instance_t *instance = &site->instances[index];
+	FILE *file = fopen(path, "w");
+
+	assert_non_null(file);
+	fprintf(file,
+		"data_center = \"dc%u\"\nplatform = \"127.0.0.1:%u\"\n"
+		"shards = 2\ngrace_ms = %d\nlog_level = \"debug\"\n[tier]\n"
+		"instance = \"tier-%u\"\ncallers = \"127.0.0.1:%u\"\n"
+		"ready = \"127.0.0.1:%u\"\nmetrics = \"127.0.0.1:%u\"\n"
+		"notice_ms = 500\nextra_share = 0.2\nextra_slack = 200\n",
+		index % 2, objects_port(site->objects), SITE_GRACE_MS, index,
+		instance->callers, instance->ready, instance->metrics);
+	fclose(file);
+}
+
+void site_start(site_t *site, uint32_t index)
+{
+	site_instance_t *instance = &site->instances[index];
+	char path[PATH_SIZE], name[32];
+	const char *argv[] = { MANGOCOVE, "tier", path, NULL };
+
+	if (!instance->callers) {
+		instance->callers = harness_free_port("127.0.0.1");
+		instance->ready = harness_free_port("127.0.0.1");
+		instance->metrics = harness_free_port("127.0.0.1");
+	}
+	snprintf(name, sizeof(name), "tier-%u", index);
+	snprintf(path, sizeof(path), "%s/%s.toml",
+		 harness_folder(site->harness), name);
+	write_settings(site, index, path);
+	instance->process = harness_start(site->harness, name, argv);
+}
+
+static bool is_ready(uint16_t port)
+{
+	char head[RAW_HEAD_MAX], body[256];
+	int fd = raw_connect(port);
+	int status = 0;
+
+	if (fd < 0)
+		return false;
+	if (raw_send(fd, "GET /v1/ready HTTP/1.1\r\nHost: r\r\n\r\n"))
+		status = raw_read(fd, head, body, sizeof(body));
+	close(fd);
+	return status == 200;
+}
+
+typedef struct {
+	uint16_t port;
+	bool ready;
+} readiness_t;
+
+static bool has_readiness(void *ctx)
+{
+	const readiness_t *wanted = ctx;
+
+	return is_ready(wanted->port) == wanted->ready;
+}
+
+void site_wait_ready(site_t *site, uint32_t index, bool ready)
+{
+	readiness_t wanted = { site->instances[index].ready, ready };
+
+	harness_wait("readiness", has_readiness, &wanted);
+}
+
+/* Readiness does not say that the last entry has been read. */
+static bool knows_targets(void *ctx)
+{
+	site_t *site = ctx;
+	uint32_t i;
+
+	for (i = 0; i < site->instance_count; i++)
+		if (site_metric(site, i, "mangocove_targets") <
+		    SITE_SHARDS * SITE_REPLICAS + SITE_SINGLES)
+			return false;
+	return true;
+}
+
+site_t *site_create(const char *name, uint32_t instances)
+{
+	site_t *site = calloc(1, sizeof(*site));
+	unsigned int i, j;
+
+	site->harness = harness_create(name);
+	site->objects = objects_start();
+	site->instance_count = instances;
+	site_configure(site, NULL);
+	for (i = 0; i < SITE_SHARDS; i++)
+		for (j = 0; j < SITE_REPLICAS; j++) {
+			site->shards[i][j] = searcher_start(
+				shard_names[i], j ? "dc1" : "dc0", j);
+			searcher_register(site->shards[i][j], site->objects,
+					  "ready");
+		}
+	for (i = 0; i < SITE_SINGLES; i++) {
+		site->singles[i] =
+			searcher_start("single", i ? "dc1" : "dc0", i);
+		searcher_register(site->singles[i], site->objects, "ready");
+	}
+	for (i = 0; i < instances; i++)
+		site_start(site, i);
+	for (i = 0; i < instances; i++)
+		site_wait_ready(site, i, true);
+	harness_wait("targets", knows_targets, site);
+	return site;
+}
+
+void site_destroy(site_t *site)
+{
+	unsigned int i, j;
+
+	if (!site)
+		return;
+	harness_destroy(site->harness);
+	for (i = 0; i < SITE_SHARDS; i++)
+		for (j = 0; j < SITE_REPLICAS; j++)
+			searcher_stop(site->shards[i][j]);
+	for (i = 0; i < SITE_SINGLES; i++)
+		searcher_stop(site->singles[i]);
+	objects_stop(site->objects);
+	free(site);
+}
+
+site_answer_t site_ask(site_t *site, uint32_t index, const char *method,
+		       const char *path, mc_ms_t left)
+{
+	site_answer_t answer = { 0 };
+	char text[PATH_SIZE * 2];
+	int fd = raw_connect(site->instances[index].callers);
+	bool body = !strcmp(method, "POST");
+
+	snprintf(answer.id, sizeof(answer.id), "attempt-%u",
+		 __atomic_add_fetch(&site->attempts, 1, __ATOMIC_RELAXED));
+	snprintf(text, sizeof(text),
+		 "%s %s HTTP/1.1\r\nHost: site.example\r\n"
+		 "Mangocove-Attempt-Id: %s\r\nMangocove-Deadline-Ms: %lld\r\n"
+		 "%s\r\n%s",
+		 method, path, answer.id, (long long)left,
+		 body ? "Content-Length: 5\r\n" : "", body ? "plant" : "");
+	if (fd < 0)
+		return answer;
+	if (raw_send(fd, text))
+		answer.status = raw_read(fd, answer.head, answer.body,
+					 sizeof(answer.body));
+	close(fd);
+	return answer;
+}
+
+double site_metric(site_t *site, uint32_t index, const char *name)
+{
+	char head[RAW_HEAD_MAX], line[PATH_SIZE];
+	char *body = malloc(RAW_ANSWER_MAX);
+	int fd = raw_connect(site->instances[index].metrics);
+	const char *found;
+	double value = -1;
+
+	body[0] = '\0';
+	if (fd >= 0 && raw_send(fd, "GET /metrics HTTP/1.1\r\nHost: m\r\n\r\n"))
+		raw_read(fd, head, body, RAW_ANSWER_MAX);
+	if (fd >= 0)
+		close(fd);
+	snprintf(line, sizeof(line), "\n%s ", name);
+	found = strstr(body, line);
+	if (found)
+		value = strtod(found + strlen(line), NULL);
+	free(body);
+	return value;
+}
+
+uint32_t site_runs(site_t *site, const char *id)
+{
+	uint32_t count = 0;
+	int i;
+
+	for (i = 0; i < SITE_SINGLES; i++)
+		count += searcher_runs(site->singles[i], id);
+	return count;
+}
--- /dev/null
+++ b/tests/system/tier_test.c
@@ -0,0 +1,437 @@
+/*
+ * System tests of the tier on the platform's stand-ins: what callers get and
+ * what searchers see, while searchers, the store and the instances misbehave.
+ */
+#include <setjmp.h>
+#include <signal.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+#include <cmocka.h>
+
+#include "site.h"
+
+enum {
+	LEFT_MS = 1500,
+	RECORD_SIZE = 16,
+	TOP = 6,
+};
+
+/* Cases that run at the same time have a folder each. */
+static const char *site_name = "tier";
+
+static int set_up(void **state)
+{
+	*state = site_create(site_name, 1);
+	return 0;
+}
+
+static int set_up_two(void **state)
+{
+	*state = site_create(site_name, 2);
+	return 0;
+}
+
+static int tear_down(void **state)
+{
+	site_destroy(*state);
+	return 0;
+}
+
+/* A merged answer names @parts signatures and the greatest records. */
+static void check_merged(const site_answer_t *answer, unsigned int parts)
+{
+	char stamps[2048], missing[16] = "0";
+	unsigned int count = 1, i;
+	const char *at;
+
+	assert_int_equal(answer->status, 200);
+	assert_true(raw_header(answer->head, "Mangocove-Part-Stamps", stamps,
+			       sizeof(stamps)));
+	raw_header(answer->head, "Mangocove-Missing-Parts", missing,
+		   sizeof(missing));
+	for (at = stamps; (at = strchr(at, ',')); at++)
+		count++;
+	assert_int_equal(count, parts);
+	assert_int_equal(strtoul(missing, NULL, 10), SITE_SHARDS - parts);
+	for (i = 0; i < TOP; i++)
+		assert_int_equal(answer->body[(size_t)i * RECORD_SIZE],
+				 100 - (int)(i / parts));
+}
+
+static void test_merges_all_shards(void **state)
+{
+	site_t *site = *state;
+	site_answer_t answer = site_ask(site, 0, "GET", "/all/x", LEFT_MS);
+
+	check_merged(&answer, SITE_SHARDS);
+}
+
+/* Method, path, query, body and other headers go on; the time left shrinks. */
+static void test_forwards(void **state)
+{
+	site_t *site = *state;
+	site_answer_t answer = site_ask(site, 0, "POST", "/one/x?y=1", LEFT_MS);
+	char head[RAW_HEAD_MAX], value[64];
+	int i;
+
+	assert_int_equal(answer.status, 200);
+	assert_true(raw_header(answer.head, "Mangocove-Server-Stamp", value,
+			       sizeof(value)));
+	for (i = 0; i < SITE_SINGLES; i++) {
+		if (!searcher_runs(site->singles[i], answer.id))
+			continue;
+		searcher_last(site->singles[i], head, sizeof(head));
+		assert_non_null(strstr(head, "POST /one/x?y=1 HTTP/1.1\r\n"));
+		assert_non_null(strstr(head, "\r\n\r\nplant"));
+		assert_true(raw_header(head, "Mangocove-Expect-Instance", value,
+				       sizeof(value)));
+		assert_string_equal(value, searcher_id(site->singles[i]));
+		assert_true(raw_header(head, "Mangocove-Deadline-Ms", value,
+				       sizeof(value)));
+		assert_true(strtol(value, NULL, 10) < LEFT_MS);
+		assert_true(strtol(value, NULL, 10) > 0);
+	}
+	assert_int_equal(site_runs(site, answer.id), 1);
+}
+
+static void test_no_route(void **state)
+{
+	site_t *site = *state;
+
+	assert_int_equal(site_ask(site, 0, "GET", "/none", LEFT_MS).status,
+			 404);
+}
+
+/* What is wrong with one replica's answer never reaches the caller. */
+static void test_bad_answers_of_a_shard(void **state)
+{
+	static const searcher_fault_t faults[] = {
+		SEARCHER_LOSES,	   SEARCHER_RESETS,    SEARCHER_SHEDS,
+		SEARCHER_FAILS,	   SEARCHER_LIES_BUSY, SEARCHER_TRUNCATES,
+		SEARCHER_REPEATS,  SEARCHER_MIXES,     SEARCHER_UNFRAMED,
+		SEARCHER_UNSIGNED,
+	};
+	site_t *site = *state;
+	size_t i;
+	int j;
+
+	for (i = 0; i < MC_ARRAY_LEN(faults); i++) {
+		for (j = 0; j < SITE_REPLICAS; j++)
+			searcher_fault(site->shards[1][j], faults[i],
+				       j ? 0 : 2);
+		for (j = 0; j < 5; j++) {
+			site_answer_t answer =
+				site_ask(site, 0, "GET", "/all/x", LEFT_MS);
+
+			check_merged(&answer, SITE_SHARDS);
+		}
+	}
+}
+
+/* With a shard gone the answer is partial and says so. */
+static void test_shard_gone(void **state)
+{
+	site_t *site = *state;
+	site_answer_t answer;
+	int j;
+
+	for (j = 0; j < SITE_REPLICAS; j++) {
+		searcher_stop(site->shards[2][j]);
+		site->shards[2][j] = NULL;
+	}
+	answer = site_ask(site, 0, "GET", "/all/x", LEFT_MS);
+	check_merged(&answer, SITE_SHARDS - 1);
+	assert_true(site_metric(site, 0, "mangocove_answers_partial_total") >=
+		    1);
+}
+
+/* Too few shards are no success, and never a promise once one has run. */
+static void test_too_few_shards(void **state)
+{
+	site_t *site = *state;
+	int i, j;
+
+	for (i = 0; i < 2; i++)
+		for (j = 0; j < SITE_REPLICAS; j++) {
+			searcher_stop(site->shards[i][j]);
+			site->shards[i][j] = NULL;
+		}
+	assert_int_equal(site_ask(site, 0, "GET", "/all/x", LEFT_MS).status,
+			 502);
+}
+
+/* A straggler is asked elsewhere and not waited for. */
+static void test_hedges(void **state)
+{
+	site_t *site = *state;
+	site_answer_t answer;
+	mc_ms_t start;
+
+	searcher_delay(site->shards[0][0], LEFT_MS);
+	start = mc_clock_now(mc_clock_system());
+	answer = site_ask(site, 0, "GET", "/all/x", LEFT_MS);
+	check_merged(&answer, SITE_SHARDS);
+	assert_true(mc_clock_now(mc_clock_system()) - start < LEFT_MS);
+}
+
+/*
+ * A request that may run once is sent once, whatever becomes of its answer,
+ * and is told to be not run only when it was not.
+ */
+static void test_runs_once(void **state)
+{
+	static const searcher_fault_t faults[] = {
+		SEARCHER_LOSES, SEARCHER_RESETS,    SEARCHER_FAILS,
+		SEARCHER_SHEDS, SEARCHER_LIES_BUSY, SEARCHER_TRUNCATES,
+		SEARCHER_MIXES, SEARCHER_UNSIGNED,
+	};
+	site_t *site = *state;
+	site_answer_t answer;
+	size_t i;
+	int j, k;
+
+	for (i = 0; i < MC_ARRAY_LEN(faults); i++)
+		for (k = 0; k < 4; k++) {
+			for (j = 0; j < SITE_SINGLES; j++)
+				searcher_fault(site->singles[j], faults[i], 1);
+			answer = site_ask(site, 0, "POST", "/once/x", LEFT_MS);
+			assert_true(site_runs(site, answer.id) <= 1);
+			if (answer.status == 503)
+				assert_int_equal(site_runs(site, answer.id), 0);
+			else
+				assert_int_equal(site_runs(site, answer.id), 1);
+			if (faults[i] == SEARCHER_FAILS)
+				assert_int_equal(answer.status, 500);
+		}
+}
+
+/* A kept connection that the searcher has closed costs no such request. */
+static void test_once_after_cut(void **state)
+{
+	site_t *site = *state;
+	site_answer_t answer;
+	int i, j;
+
+	for (i = 0; i < 10; i++) {
+		for (j = 0; j < SITE_SINGLES; j++)
+			searcher_cut(site->singles[j]);
+		answer = site_ask(site, 0, "POST", "/once/x", LEFT_MS);
+		assert_int_equal(answer.status, 200);
+		assert_int_equal(site_runs(site, answer.id), 1);
+	}
+}
+
+/* An address that another searcher has now gets nothing run by mistake. */
+static void test_replaced(void **state)
+{
+	site_t *site = *state;
+	site_answer_t answer;
+	int i;
+
+	searcher_replace(site->singles[0]);
+	for (i = 0; i < 6; i++) {
+		answer = site_ask(site, 0, "POST", "/once/x", LEFT_MS);
+		assert_int_equal(answer.status, 200);
+	}
+	assert_int_equal(searcher_runs(site->singles[0], NULL), 0);
+	/* Asked once, and then not until it has an entry. */
+	assert_true(searcher_arrivals(site->singles[0]) <= 2);
+	searcher_register(site->singles[0], site->objects, "ready");
+	searcher_delay(site->singles[1], 50);
+	for (i = 0; i < 40 && !searcher_runs(site->singles[0], NULL); i++)
+		site_ask(site, 0, "GET", "/one/x", LEFT_MS);
+	assert_true(searcher_runs(site->singles[0], NULL) > 0);
+}
+
+typedef struct {
+	site_t *site;
+	const char *path;
+	int status;
+} wanted_t;
+
+static bool gives_status(void *ctx)
+{
+	const wanted_t *wanted = ctx;
+
+	return site_ask(wanted->site, 0, "GET", wanted->path, LEFT_MS).status ==
+	       wanted->status;
+}
+
+static json_t *extra_route(void)
+{
+	return json_pack("{ss ss ss ss si si ss}", "name", "extra", "hostname",
+			 "site.example", "pathPrefix", "/extra/", "routeType",
+			 "idempotent", "timeoutMs", 2000, "maxAttempts", 2,
+			 "backend", "single");
+}
+
+/* Changes come into force, after a lost history and a silent store as well. */
+static void test_changes(void **state)
+{
+	site_t *site = *state;
+	wanted_t wanted = { site, "/extra/x", 200 };
+
+	site_configure(site, extra_route());
+	harness_wait("new route", gives_status, &wanted);
+	objects_silence(site->objects, true);
+	site_configure(site, NULL);
+	harness_sleep(3000);
+	/* The old map stays while the store says nothing. */
+	assert_true(gives_status(&wanted));
+	objects_forget(site->objects);
+	objects_silence(site->objects, false);
+	wanted.status = 404;
+	harness_wait("route gone", gives_status, &wanted);
+}
+
+/* With the store down, serving goes on; afterwards changes arrive. */
+static void test_store_down(void **state)
+{
+	site_t *site = *state;
+	wanted_t wanted = { site, "/extra/x", 200 };
+	site_answer_t answer;
+
+	objects_down(site->objects, true);
+	answer = site_ask(site, 0, "GET", "/all/x", LEFT_MS);
+	check_merged(&answer, SITE_SHARDS);
+	site_configure(site, extra_route());
+	objects_down(site->objects, false);
+	harness_wait("new route", gives_status, &wanted);
+}
+
+/* A start without the store answers 503, not 404, until it is back. */
+static void test_start_without_store(void **state)
+{
+	site_t *site = *state;
+	wanted_t wanted = { site, "/all/x", 503 };
+
+	assert_true(harness_stop(site->harness, site->instances[0].process,
+				 SIGKILL) != 0);
+	objects_down(site->objects, true);
+	site_start(site, 0);
+	harness_wait("refusal", gives_status, &wanted);
+	site_wait_ready(site, 0, false);
+	objects_down(site->objects, false);
+	site_wait_ready(site, 0, true);
+	wanted.status = 200;
+	harness_wait("service", gives_status, &wanted);
+}
+
+/* Nothing reaches a searcher once its entry says that it drains. */
+static void test_drains(void **state)
+{
+	site_t *site = *state;
+	uint32_t before;
+	int i;
+
+	searcher_register(site->singles[0], site->objects, "draining");
+	harness_sleep(1000);
+	before = searcher_arrivals(site->singles[0]);
+	for (i = 0; i < 20; i++)
+		assert_int_equal(
+			site_ask(site, 0, "GET", "/one/x", LEFT_MS).status,
+			200);
+	assert_int_equal(searcher_arrivals(site->singles[0]), before);
+}
+
+static bool counts_gone(void *ctx)
+{
+	return site_metric(ctx, 0, "mangocove_callers_gone_total") >= 1;
+}
+
+/* A caller that leaves takes its request along. */
+static void test_caller_gone(void **state)
+{
+	site_t *site = *state;
+	int fd = raw_connect(site->instances[0].callers);
+	int i;
+
+	for (i = 0; i < SITE_SINGLES; i++)
+		searcher_delay(site->singles[i], LEFT_MS);
+	assert_true(raw_send(fd, "GET /one/x HTTP/1.1\r\nHost: site.example"
+				 "\r\nMangocove-Attempt-Id: gone\r\n"
+				 "Mangocove-Deadline-Ms: 1500\r\n\r\n"));
+	harness_sleep(100);
+	close(fd);
+	harness_wait("caller gone", counts_gone, site);
+	assert_true(site_metric(site, 0, "mangocove_cancels_total") >= 1);
+}
+
+/* A planned stop cuts nothing that is in flight and tells the balancer. */
+static void test_planned_stop(void **state)
+{
+	site_t *site = *state;
+	char head[RAW_HEAD_MAX], body[4096];
+	int fd = raw_connect(site->instances[0].callers);
+	int i;
+
+	for (i = 0; i < SITE_SINGLES; i++)
+		searcher_delay(site->singles[i], 1000);
+	assert_true(raw_send(fd, "GET /one/x HTTP/1.1\r\nHost: site.example"
+				 "\r\nMangocove-Attempt-Id: stop\r\n"
+				 "Mangocove-Deadline-Ms: 1900\r\n\r\n"));
+	harness_sleep(100);
+	harness_signal(site->harness, site->instances[0].process, SIGTERM);
+	site_wait_ready(site, 0, false);
+	assert_int_equal(raw_read(fd, head, body, sizeof(body)), 200);
+	assert_non_null(strstr(head, "Connection: close"));
+	close(fd);
+	assert_int_equal(
+		harness_stop(site->harness, site->instances[0].process, 0), 0);
+}
+
+static bool know_each_other(void *ctx)
+{
+	return site_metric(ctx, 0, "mangocove_instances") == 2 &&
+	       site_metric(ctx, 1, "mangocove_instances") == 2;
+}
+
+/* Two instances find each other in the store and share what is shared. */
+static void test_instances_share(void **state)
+{
+	site_t *site = *state;
+	site_answer_t answer;
+	uint32_t i;
+
+	harness_wait("instances", know_each_other, site);
+	for (i = 0; i < 2; i++) {
+		answer = site_ask(site, i, "GET", "/all/x", LEFT_MS);
+		check_merged(&answer, SITE_SHARDS);
+	}
+}
+
+#define TIER_TEST(test) cmocka_unit_test_setup_teardown(test, set_up, tear_down)
+
+int main(int argc, char **argv)
+{
+	const struct CMUnitTest tests[] = {
+		TIER_TEST(test_merges_all_shards),
+		TIER_TEST(test_forwards),
+		TIER_TEST(test_no_route),
+		TIER_TEST(test_bad_answers_of_a_shard),
+		TIER_TEST(test_shard_gone),
+		TIER_TEST(test_too_few_shards),
+		TIER_TEST(test_hedges),
+		TIER_TEST(test_runs_once),
+		TIER_TEST(test_once_after_cut),
+		TIER_TEST(test_replaced),
+		TIER_TEST(test_changes),
+		TIER_TEST(test_store_down),
+		TIER_TEST(test_start_without_store),
+		TIER_TEST(test_drains),
+		TIER_TEST(test_caller_gone),
+		TIER_TEST(test_planned_stop),
+		cmocka_unit_test_setup_teardown(test_instances_share,
+						set_up_two, tear_down),
+	};
+
+	if (argc > 1) {
+		site_name = argv[1];
+		cmocka_set_test_filter(argv[1]);
+	}
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
