Structured logs on standard output within a budget; metrics by route

Cause: logs went to standard error as free text without a bound, and a reader that stops would have held up the end of a process; metrics had one histogram. Change: logfmt lines with time, level and part; a budget of lines a second for each level, told when it was used up; a pipe that takes nothing for 100 ms loses the line. Counts by outcome and three latency histograms for each route, in at most 128 rows. A line for each request's end, for each failed part, for each target that is asked besides, and for what changes the process's belief.

--- a/src/base/include/mc/base/log.h
+++ b/src/base/include/mc/base/log.h
@@ -1,7 +1,15 @@
 /*
- * Log lines in syslog's manner: "<priority>part: short sentence key=value".
+ * Log lines for machines (logfmt):
+ *
+ *	ts=1787228322.034 level=info part=tier msg="request done" id=9c41 ms=31
+ *
+ * @ts is seconds since the Unix epoch. Callers write a short sentence followed
+ * by key=value pairs; a value with spaces stands in quotes.
+ *
  * Writing never blocks the caller: lines pass through a bounded queue to a
- * writer thread, and lines that find it full are counted and dropped.
+ * writer thread, which gives up on a pipe that nobody reads. Each level has a
+ * budget of lines per second, so that what is frequent does not push out what
+ * is rare. Lines that are not written are counted, and a line says how many.
  */
 #ifndef MC_BASE_LOG_H
 #define MC_BASE_LOG_H
@@ -25,16 +33,17 @@
 
 /**
  * struct mc_log_sink_t - where lines go
- * @write: writes one whole line of @size bytes with its newline
+ * @write: writes one whole line of @size bytes with its newline; false when
+ *	it could not be written
  * @ctx: passed to @write
  */
 typedef struct mc_log_sink_t {
-	void (*write)(void *ctx, const char *line, size_t size);
+	bool (*write)(void *ctx, const char *line, size_t size);
 	void *ctx;
 } mc_log_sink_t;
 
-/** mc_log_sink_stderr() - the sink that writes to standard error */
-const mc_log_sink_t *mc_log_sink_stderr(void);
+/** mc_log_sink_stdout() - the sink that writes to standard output */
+const mc_log_sink_t *mc_log_sink_stdout(void);
 
 /**
  * mc_log_create() - start a log and its writer thread
@@ -51,7 +60,7 @@
 /** mc_log_enabled() - whether lines of @level are written; false for NULL */
 bool mc_log_enabled(const mc_log_t *log, mc_log_level_t level);
 
-/** mc_log_dropped() - lines dropped so far */
+/** mc_log_dropped() - lines that were not written so far, for any reason */
 uint64_t mc_log_dropped(const mc_log_t *log);
 
 /**
--- a/src/main/run_role.c
+++ b/src/main/run_role.c
@@ -75,7 +75,7 @@
 		free(settings);
 		return status;
 	}
-	log = mc_log_create(mc_log_sink_stderr(), settings->log_level);
+	log = mc_log_create(mc_log_sink_stdout(), settings->log_level);
 	status = command->run(path, settings, log);
 	mc_log_destroy(log);
 	free(settings);
--- a/src/tier/ready.c
+++ b/src/tier/ready.c
@@ -49,6 +49,7 @@
 	if (out) {
 		mc_host_counters(tier->process->host, &sum);
 		mc_counters_print(&sum, out);
+		metrics_print(&tier->process->metrics_rows, out);
 		fprintf(out,
 			"# HELP mangocove_map_version version in force\n"
 			"# TYPE mangocove_map_version gauge\n"
--- a/src/tier/request.c
+++ b/src/tier/request.c
@@ -86,16 +86,20 @@
 	       request->sends, request->hedges);
 }
 
-static void note_end(const request_t *request, bool served)
+static void note_end(const request_t *request, metrics_outcome_t outcome)
 {
 	mc_counters_t *counters = mc_shard_counters(request->tier->shard);
+	mc_ms_t time = mc_shard_now(request->tier->shard) - request->begun;
 
-	if (!served)
+	if (request->book) {
+		metrics_count(request->book->metrics, outcome);
+		metrics_add(&request->book->metrics->total, time);
+	}
+	if (outcome != METRICS_WHOLE && outcome != METRICS_PARTIAL)
 		return;
 	mc_count(counters, MC_COUNTER_ANSWERS, 1);
-	mc_count_latency(counters,
-			 mc_shard_now(request->tier->shard) - request->begun);
-	if (request->coming.in < request->coming.total)
+	mc_count_latency(counters, time);
+	if (outcome == METRICS_PARTIAL)
 		mc_count(counters, MC_COUNTER_ANSWERS_PARTIAL, 1);
 }
 
@@ -114,6 +118,8 @@
 	if (may_have_run(request) && mc_error_answer(reason)->not_run)
 		reason = MC_ERR_OUTCOME_UNKNOWN;
 	log_end(request, mc_error_name(reason));
+	note_end(request, mc_error_answer(reason)->not_run ? METRICS_REFUSED
+							   : METRICS_UNKNOWN);
 	request_free(request);
 	reply_refuse(tier, caller, reason);
 }
@@ -122,7 +128,7 @@
 			  bool served)
 {
 	log_end(request, served ? "ok" : "target_status");
-	note_end(request, served);
+	note_end(request, served ? METRICS_WHOLE : METRICS_FAILED_BY_TARGET);
 	reply_forward(request, message);
 	request_free(request);
 }
@@ -130,7 +136,9 @@
 static void end_merged(request_t *request)
 {
 	log_end(request, "ok");
-	note_end(request, true);
+	note_end(request, request->coming.in < request->coming.total
+				  ? METRICS_PARTIAL
+				  : METRICS_WHOLE);
 	reply_merged(request);
 	request_free(request);
 }
@@ -262,6 +270,7 @@
 	}
 	rank = rank < TIER_RANKS ? rank : TIER_RANKS - 1;
 	part->state = PART_WAITS;
+	part->waits_since = mc_shard_now(tier->shard);
 	TAILQ_INSERT_TAIL(&service->waiting[rank], part, entry);
 	service->waiting_count++;
 	if (service->waiting_count == 1)
@@ -514,6 +523,7 @@
 		mc_count(mc_shard_counters(tier->shard),
 			 MC_COUNTER_CALLERS_GONE, 1);
 		log_end(request, "caller_gone");
+		note_end(request, METRICS_GONE);
 		request_free(request);
 		return;
 	}
--- a/src/tier/send.c
+++ b/src/tier/send.c
@@ -87,6 +87,9 @@
 {
 	request_t *request = part->request;
 
+	if (part->state == PART_WAITS && request->book)
+		metrics_add(&request->book->metrics->waited,
+			    mc_shard_now(tier->shard) - part->waits_since);
 	part->open++;
 	part->tries.runs++;
 	part->tries.sends++;
@@ -121,6 +124,13 @@
 	if (!part->paid_first)
 		mc_budget_earn(&service->extras, 1);
 	part->paid_first = true;
+	if (extra)
+		mc_log(tier->log, MC_LOG_DEBUG, "tier",
+		       "another target is asked id=%s service=%s target=%s "
+		       "usual_ms=%.0f entry_started=%lld",
+		       request->call.id ? request->call.id : "-", service->name,
+		       target->entry.id, sent->usual,
+		       (long long)target->entry.started);
 	if (dispatch(tier, request, link, target))
 		mc_log(tier->log, MC_LOG_ERROR, "tier",
 		       "request does not leave id=%s target=%s reason=\"%s\"",
@@ -182,6 +192,7 @@
 		return;
 	mc_quantile_add(&request->book->usual, usual, latency);
 	mc_quantile_add(&request->book->high, high, latency);
+	metrics_add(&request->book->metrics->target, latency);
 }
 
 static void note_fault(tier_t *tier, target_t *target, const request_t *request,
--- a/src/tier/tier.c
+++ b/src/tier/tier.c
@@ -258,6 +258,7 @@
 		seed = (uint64_t)mc_clock_wall(mc_clock_system()) ^
 		       (uint64_t)getpid();
 	host.seed = mc_hash_pair(seed, mc_hash_string(settings->instance));
+	metrics_init(&process.metrics_rows);
 	reload_note(&process);
 	mc_log(params->log, MC_LOG_NOTICE, "tier",
 	       "starts instance=%s data_center=%s callers=%s store=%s "
--- a/src/tier/tier_private.h
+++ b/src/tier/tier_private.h
@@ -18,6 +18,7 @@
 #include "mc/replica.h"
 #include "mc/retry.h"
 #include "mc/tier.h"
+#include "metrics.h"
 
 enum {
 	TIER_REQUESTS_MAX = 16384,
@@ -44,7 +45,7 @@
 typedef struct {
 	mc_quantile_t usual;
 	mc_quantile_t high;
-	uint64_t requests;
+	metrics_row_t *metrics;
 } book_t;
 
 /* A service, whether or not the map in force names it. */
@@ -139,6 +140,7 @@
 	part_state_t state;
 	bool hedged;
 	bool paid_first;
+	mc_ms_t waits_since;
 	uint32_t open;
 	mc_tries_t tries;
 	mc_ms_t sent_at;
@@ -190,6 +192,7 @@
 	int ready;
 	int metrics;
 	int64_t settings_changed;
+	metrics_t metrics_rows;
 } tier_process_t;
 
 struct tier_t {
--- a/src/tier/world.c
+++ b/src/tier/world.c
@@ -317,6 +317,7 @@
 	if (book || apr_hash_count(tier->books) >= BOOKS_MAX)
 		return book;
 	book = apr_pcalloc(tier->pool, sizeof(*book));
+	book->metrics = metrics_row(&tier->process->metrics_rows, route->name);
 	apr_hash_set(tier->books, apr_pstrdup(tier->pool, route->name),
 		     APR_HASH_KEY_STRING, book);
 	return book;
--- a/tests/system/fleet.c
+++ b/tests/system/fleet.c
@@ -19,7 +19,7 @@
 	BASE_TEN = 10,
 };
 
-#define IN_FORCE "configuration in force version="
+#define IN_FORCE "configuration in force\" version="
 
 static mc_handle_t start_submit(cluster_t *cluster, const char *name,
 				const char *option, const char *value)
