follow: one short watch tells of a silent store; the others are begun anew

Change: the map's watch is short; when a call fails, when the store is back and when history is gone, the open watches are ended and begun anew. Entries of targets that change within 500 ms are read together.

--- a/src/follow/follow.c
+++ b/src/follow/follow.c
@@ -9,8 +9,6 @@
 #include <string.h>
 
 enum {
-	/* Changes that come close together are read together, ms. */
-	GATHER_MS = 150,
 	/* Tries after failures: first and longest pause, ms. */
 	PAUSE_MIN_MS = 100,
 	PAUSE_MAX_MS = 1000,
@@ -18,18 +16,20 @@
 };
 
 /*
- * @watch: how long one watch waits, ms. A connection that has gone silent is
- *	noticed after this and the time that the store has for an answer, so it
- *	is short where a change is due soon.
+ * @watch: how long one watch waits, ms. A store that has gone silent is noticed
+ *	by the map's, which is short as a map is due soon; the others are then
+ *	begun anew
+ * @gather: after a change, changes that come in this time are read together, ms
  */
 static const struct {
 	const char *name;
 	mc_ms_t watch;
+	mc_ms_t gather;
 } kinds[] = {
-	[MC_SOURCE_MAP] = { "map", 2000 },
-	[MC_SOURCE_TARGETS] = { "targets", 2000 },
-	[MC_SOURCE_OUT] = { "out", 2500 },
-	[MC_SOURCE_INSTANCES] = { "instances", 10000 },
+	[MC_SOURCE_MAP] = { "map", 2000, 100 },
+	[MC_SOURCE_TARGETS] = { "targets", 10000, 500 },
+	[MC_SOURCE_OUT] = { "out", 10000, 100 },
+	[MC_SOURCE_INSTANCES] = { "instances", 20000, 1000 },
 };
 
 static void go_on(mc_shard_t *shard, void *arg);
@@ -88,6 +88,25 @@
 		follow->publish_due = false;
 }
 
+/*
+ * Begins all open watches anew. What the store has not answered when it went
+ * silent it will not answer when it is back.
+ */
+static void watch_anew(mc_follow_t *follow)
+{
+	uint32_t i;
+
+	for (i = 0; i < MC_SOURCE_KINDS; i++) {
+		kind_t *kind = &follow->kinds[i];
+
+		if (!kind->open || !kind->watching)
+			continue;
+		follow->params.source->unwatch(follow->source, kind->kind);
+		kind->open = false;
+		set_timer(follow, 0, go_on, kind, &kind->timer);
+	}
+}
+
 /* The store is lost or back: one line, whatever the number of calls. */
 static void note_store(mc_follow_t *follow, mc_err_t err)
 {
@@ -99,6 +118,7 @@
 	if (lost == follow->store_lost)
 		return;
 	follow->store_lost = lost;
+	watch_anew(follow);
 	if (lost)
 		mc_log(mc_shard_log(follow->params.shard), MC_LOG_WARNING,
 		       "follow", "store is lost map=%llu reason=\"%s\"",
@@ -129,6 +149,7 @@
 		kind->watching = false;
 		kind->strict = true;
 		kind->after[0] = '\0';
+		watch_anew(kind->follow);
 		return;
 	}
 	follow_take(kind->follow, kind->kind, result);
@@ -162,6 +183,7 @@
 {
 	kind_t *kind = ctx;
 
+	kind->open = false;
 	note_store(kind->follow, result->err);
 	if (result->err && result->err != MC_ERR_HISTORY_GONE) {
 		failed(kind);
@@ -174,7 +196,8 @@
 		took_list(kind, result);
 	follow_changed(kind->follow);
 	if (kind->watching && result->record_count)
-		set_timer(kind->follow, GATHER_MS, go_on, kind, &kind->timer);
+		set_timer(kind->follow, kinds[kind->kind].gather, go_on, kind,
+			  &kind->timer);
 	else
 		go_on(kind->follow->params.shard, kind);
 }
@@ -187,14 +210,17 @@
 	mc_err_t err;
 
 	mc_count(mc_shard_counters(shard), MC_COUNTER_STORE_CALLS, 1);
+	kind->open = true;
 	if (kind->watching)
 		err = ops->watch(follow->source, kind->kind, kind->revision,
 				 kinds[kind->kind].watch, took, kind);
 	else
 		err = ops->list(follow->source, kind->kind, kind->after,
 				!kind->strict, took, kind);
-	if (err)
-		failed(kind);
+	if (!err)
+		return;
+	kind->open = false;
+	failed(kind);
 }
 
 static void announced(void *ctx, const mc_source_result_t *result)
--- a/src/follow/follow_private.h
+++ b/src/follow/follow_private.h
@@ -13,6 +13,7 @@
  * struct kind_t - how far a kind of records has been read
  * @follow: the follower
  * @kind: the kind
+ * @open: a call is under way
  * @watching: the list is whole, changes are watched
  * @listed: the list was whole once
  * @strict: the next list must not be old
@@ -25,6 +26,7 @@
 typedef struct kind_t {
 	struct mc_follow_t *follow;
 	mc_source_kind_t kind;
+	bool open;
 	bool watching;
 	bool listed;
 	bool strict;
--- a/src/follow/include/mc/source.h
+++ b/src/follow/include/mc/source.h
@@ -73,6 +73,7 @@
  * @list: records behind the name @after; "" for the first ones. @cheap: they
  *	may be seconds old
  * @watch: wait until records have changed after @above, at most @wait ms
+ * @unwatch: end the open watch of a kind without a call of its handler
  * @announce: create the record of instance @name of @data_center
  */
 typedef struct mc_source_ops_t {
@@ -84,6 +85,7 @@
 	mc_err_t (*watch)(mc_source_t *source, mc_source_kind_t kind,
 			  uint64_t above, mc_ms_t wait,
 			  mc_source_done_fn_t done, void *ctx);
+	void (*unwatch)(mc_source_t *source, mc_source_kind_t kind);
 	mc_err_t (*announce)(mc_source_t *source, const char *name,
 			     const char *data_center, mc_source_done_fn_t done,
 			     void *ctx);
--- a/src/net/http_client.c
+++ b/src/net/http_client.c
@@ -5,6 +5,7 @@
  */
 #include "net_private.h"
 
+#include <netinet/tcp.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -13,6 +14,15 @@
 	IDLE_MAX = 256,
 	ETAG_SIZE = 32,
 	BODY_MIN = 1024,
+	/*
+	 * A connection that has gone silent is given up after probes of the
+	 * kernel's: first after, then every, s; number of them.
+	 */
+	PROBE_FIRST_S = 1,
+	PROBE_EVERY_S = 1,
+	PROBES = 2,
+	/* Sent bytes that nobody acknowledges, ms. */
+	UNACKNOWLEDGED_MS = 2500,
 };
 
 typedef struct {
@@ -324,6 +334,23 @@
 	return easy;
 }
 
+static int on_open(void *arg, curl_socket_t fd, curlsocktype purpose)
+{
+	const int on = 1, first = PROBE_FIRST_S, every = PROBE_EVERY_S,
+		  probes = PROBES;
+	const unsigned int unacknowledged = UNACKNOWLEDGED_MS;
+
+	(void)arg;
+	(void)purpose;
+	setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
+	setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &first, sizeof(first));
+	setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &every, sizeof(every));
+	setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof(probes));
+	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacknowledged,
+		   sizeof(unacknowledged));
+	return CURL_SOCKOPT_OK;
+}
+
 static void set_options(request_t *made, const mc_http_request_t *request)
 {
 	CURL *easy = made->easy;
@@ -332,6 +359,7 @@
 	curl_easy_setopt(easy, CURLOPT_PRIVATE, (char *)made);
 	curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
 	curl_easy_setopt(easy, CURLOPT_PROXY, "");
+	curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, on_open);
 	curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, (long)request->timeout);
 	curl_easy_setopt(easy, CURLOPT_HTTPHEADER, made->headers);
 	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, on_body);
--- a/tests/unit/follow_test.c
+++ b/tests/unit/follow_test.c
@@ -31,6 +31,7 @@
 struct mc_source_t {
 	call_t calls[MC_SOURCE_KINDS];
 	bool announced;
+	uint32_t unwatched;
 };
 
 typedef struct {
@@ -86,6 +87,14 @@
 	return MC_OK;
 }
 
+static void fake_unwatch(mc_source_t *source, mc_source_kind_t kind)
+{
+	assert_true(source->calls[kind].open);
+	assert_true(source->calls[kind].watches);
+	source->calls[kind].open = false;
+	source->unwatched++;
+}
+
 static mc_err_t fake_announce(mc_source_t *source, const char *name,
 			      const char *data_center, mc_source_done_fn_t done,
 			      void *ctx)
@@ -104,6 +113,7 @@
 	.destroy = fake_destroy,
 	.list = fake_list,
 	.watch = fake_watch,
+	.unwatch = fake_unwatch,
 	.announce = fake_announce,
 };
 
@@ -327,6 +337,38 @@
 	mc_map_unref(maps[1]);
 }
 
+/* A store that fails one call may have forgotten the others: they are begun
+ * anew then, and once more when it is back. */
+static void test_watches_anew(void **state)
+{
+	fixture_t *fixture = *state;
+	mc_source_record_t a = target_record("a");
+	reply_t targets = {
+		.kind = MC_SOURCE_TARGETS,
+		.result = { .revision = 40, .record_count = 1, .records = &a },
+	};
+	reply_t map = { .kind = MC_SOURCE_MAP, .result = { .revision = 40 } };
+	uint32_t unwatched;
+
+	answer(fixture, &targets);
+	answer(fixture, &map);
+	assert_true(wait_call(fixture, MC_SOURCE_TARGETS).watches);
+	map.result = (mc_source_result_t){ .err = MC_ERR_STORE_UNAVAILABLE };
+	answer(fixture, &map);
+	mc_shard_lock(fixture->shard);
+	unwatched = the_source.unwatched;
+	mc_shard_unlock(fixture->shard);
+	assert_int_equal(unwatched, 1);
+	assert_int_equal(wait_call(fixture, MC_SOURCE_TARGETS).above, 40);
+	map.result = (mc_source_result_t){ .revision = 41 };
+	answer(fixture, &map);
+	mc_shard_lock(fixture->shard);
+	unwatched = the_source.unwatched;
+	mc_shard_unlock(fixture->shard);
+	assert_int_equal(unwatched, 2);
+	wait_call(fixture, MC_SOURCE_TARGETS);
+}
+
 #define FOLLOW_TEST(test) \
 	cmocka_unit_test_setup_teardown(test, set_up, tear_down)
 
@@ -336,6 +378,7 @@
 		FOLLOW_TEST(test_list_and_watch),
 		FOLLOW_TEST(test_history_gone),
 		FOLLOW_TEST(test_map_goes_up),
+		FOLLOW_TEST(test_watches_anew),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
