tier: an answer at the goal leaves in time for its way and for a busy instance

Cause: on the grown Teifi deployment half of the merged answers came a few ms after their goal: thin machines take 20 to 30 ms for a query over 90 shards, and what was due at the goal left when the loop got to it. Ruled out: missing hedges (extras were within budget), slow searchers. Change: each route remembers by how much such answers leave late (90th percentile) and begins that much earlier, up to a third of the goal.

--- a/src/tier/request.c
+++ b/src/tier/request.c
@@ -12,8 +12,10 @@
 #include "mc/hedge_time.h"
 
 enum {
-	/* An answer is on its way so long; it shall arrive within the goal. */
+	/* Request and answer are on their way so long together, ms. */
 	GOAL_TRAVEL_MS = 8,
+	/* Share of the goal that may be given up to arrive within it, 1/n. */
+	GOAL_RESERVE_PART = 3,
 	TIME_LEFT_MAX_MS = 600000,
 };
 
@@ -133,6 +135,18 @@
 	request_free(request);
 }
 
+/* How much later than it was due an answer at the goal has left. */
+static void note_late(request_t *request)
+{
+	static const double most = 0.9;
+	mc_ms_t now = mc_clock_now(mc_shard_clock(request->tier->shard));
+
+	if (request->book && now >= request->goal_at &&
+	    request->coming.in < request->coming.total)
+		mc_quantile_add(&request->book->late, most,
+				now - request->goal_at);
+}
+
 static void end_merged(request_t *request)
 {
 	log_end(request, "ok");
@@ -140,6 +154,7 @@
 				  ? METRICS_PARTIAL
 				  : METRICS_WHOLE);
 	reply_merged(request);
+	note_late(request);
 	request_free(request);
 }
 
@@ -412,6 +427,20 @@
 	return MC_OK;
 }
 
+/*
+ * How long before the goal an answer is due: what it takes on its way, and what
+ * this instance takes to get to it and write it while it is busy.
+ */
+static mc_ms_t reserve_of(const request_t *request)
+{
+	mc_ms_t most = request->route->goal / GOAL_RESERVE_PART;
+	mc_ms_t reserve = GOAL_TRAVEL_MS;
+
+	if (request->book)
+		reserve += (mc_ms_t)request->book->late.value;
+	return reserve < most ? reserve : most;
+}
+
 static void set_times(request_t *request, mc_ms_t first_byte)
 {
 	const mc_map_route_t *route = request->route;
@@ -423,9 +452,7 @@
 		left = route->timeout;
 	request->begun = first_byte;
 	request->end_at = first_byte + left;
-	request->goal_at = route->goal > GOAL_TRAVEL_MS * 2
-				   ? first_byte + route->goal - GOAL_TRAVEL_MS
-				   : first_byte + route->goal / 2;
+	request->goal_at = first_byte + route->goal - reserve_of(request);
 }
 
 static request_t *request_add(tier_t *tier, mc_handle_t caller,
--- a/src/tier/tier_private.h
+++ b/src/tier/tier_private.h
@@ -45,6 +45,8 @@
 typedef struct {
 	mc_quantile_t usual;
 	mc_quantile_t high;
+	/* By how much answers at the goal leave late, ms. */
+	mc_quantile_t late;
 	metrics_row_t *metrics;
 } book_t;
 
