follow: times from the bounds; changes that come in parts are read at once

Cause: calls to the store are the largest price of the grown deployments, and watches waited the same there though their bounds are longer. Change: settings say the bounds of maps and of targets that leave; the map's watch and the pause follow them, and there is no pause behind a large part.

--- a/src/follow/follow.c
+++ b/src/follow/follow.c
@@ -15,23 +15,49 @@
 	PAUSE_DOUBLINGS = 4,
 };
 
+enum {
+	/* Parts of the bounds of maps and of targets that leave. */
+	APPLY_WATCH_NUMERATOR = 2,
+	APPLY_WATCH_DENOMINATOR = 3,
+	DRAIN_GATHER_PART = 6,
+	/* So many changes at once may be a part of more: no pause then. */
+	MANY_CHANGES = 16,
+};
+
 /*
- * @watch: how long one watch waits, ms. A store that has gone silent is noticed
- *	by the map's, which is short as a map is due soon; the others are then
+ * @watch: how long one watch waits, ms; 0 for a part of the bound of maps, as a
+ *	store that has gone silent is noticed by the map's. The others are then
  *	begun anew
- * @gather: after a change, changes that come in this time are read together, ms
+ * @gather: after a change, changes that come in this time are read together,
+ *	ms; 0 for a part of the bound of targets that leave
  */
 static const struct {
 	const char *name;
 	mc_ms_t watch;
 	mc_ms_t gather;
 } kinds[] = {
-	[MC_SOURCE_MAP] = { "map", 2000, 100 },
-	[MC_SOURCE_TARGETS] = { "targets", 10000, 500 },
+	[MC_SOURCE_MAP] = { "map", 0, 100 },
+	[MC_SOURCE_TARGETS] = { "targets", 10000, 0 },
 	[MC_SOURCE_OUT] = { "out", 10000, 100 },
 	[MC_SOURCE_INSTANCES] = { "instances", 20000, 1000 },
 };
 
+static mc_ms_t watch_time(const kind_t *kind)
+{
+	mc_ms_t watch = kinds[kind->kind].watch;
+
+	return watch ? watch
+		     : kind->follow->params.apply * APPLY_WATCH_NUMERATOR /
+			       APPLY_WATCH_DENOMINATOR;
+}
+
+static mc_ms_t gather_time(const kind_t *kind)
+{
+	mc_ms_t gather = kinds[kind->kind].gather;
+
+	return gather ? gather : kind->follow->params.drain / DRAIN_GATHER_PART;
+}
+
 static void go_on(mc_shard_t *shard, void *arg);
 static void announce(mc_shard_t *shard, void *arg);
 
@@ -195,8 +221,9 @@
 	else
 		took_list(kind, result);
 	follow_changed(kind->follow);
-	if (kind->watching && result->record_count)
-		set_timer(kind->follow, kinds[kind->kind].gather, go_on, kind,
+	if (kind->watching && result->record_count &&
+	    result->record_count < MANY_CHANGES)
+		set_timer(kind->follow, gather_time(kind), go_on, kind,
 			  &kind->timer);
 	else
 		go_on(kind->follow->params.shard, kind);
@@ -213,7 +240,7 @@
 	kind->open = true;
 	if (kind->watching)
 		err = ops->watch(follow->source, kind->kind, kind->revision,
-				 kinds[kind->kind].watch, took, kind);
+				 watch_time(kind), took, kind);
 	else
 		err = ops->list(follow->source, kind->kind, kind->after,
 				!kind->strict, took, kind);
--- a/src/settings/include/mc/settings.h
+++ b/src/settings/include/mc/settings.h
@@ -20,6 +20,9 @@
  *	ready = "127.0.0.1:8081"          # where readiness is asked
  *	metrics = "127.0.0.1:9464"        # where metrics are served; optional
  *	notice_ms = 2500                  # of a planned stop, before it closes
+ *	apply_ms = 3000                   # a new map is in force by then
+ *	drain_ms = 3000                   # a target serves on so long after it
+ *	                                  # said that it leaves
  *	extra_share = 0.2                 # extra requests per request to a
  *	                                  # service, of all instances
  *	extra_window_ms = 10000           # span in which they are counted
@@ -92,6 +95,8 @@
 	char ready[MC_ADDRESS_SIZE];
 	char metrics[MC_ADDRESS_SIZE];
 	mc_ms_t notice;
+	mc_ms_t apply;
+	mc_ms_t drain;
 	double extra_share;
 	mc_ms_t extra_window;
 	uint32_t extra_slack;
--- a/src/settings/keys.c
+++ b/src/settings/keys.c
@@ -7,6 +7,7 @@
 
 enum {
 	GRACE_MS_MAX = 600000,
+	APPLY_MS_MIN = 500,
 	EXTRA_PERCENT_MAX = 100,
 	CONCURRENCY_MAX = 1000000,
 	PORT_FIXED = 1,
@@ -52,6 +53,8 @@
 	{ "tier", "ready", ADDRESS(PORT_ANY), FIELD(ready), .need = NEED_TIER },
 	{ "tier", "metrics", ADDRESS(PORT_ANY), FIELD(metrics) },
 	{ "tier", "notice_ms", U64(0, GRACE_MS_MAX), FIELD(notice) },
+	{ "tier", "apply_ms", U64(APPLY_MS_MIN, GRACE_MS_MAX), FIELD(apply) },
+	{ "tier", "drain_ms", U64(APPLY_MS_MIN, GRACE_MS_MAX), FIELD(drain) },
 	{ "tier", "extra_share", SHARE, FIELD(extra_share) },
 	{ "tier", "extra_window_ms", U64(1, GRACE_MS_MAX),
 	  FIELD(extra_window) },
@@ -112,6 +115,8 @@
 		.log_level = MC_LOG_INFO,
 		.grace = 10000,
 		.notice = 2500,
+		.apply = 3000,
+		.drain = 3000,
 		.extra_share = 0.2,
 		.extra_window = 10000,
 		.extra_slack = 50,
--- a/src/tier/tier.c
+++ b/src/tier/tier.c
@@ -171,6 +171,8 @@
 		.address = settings->platform,
 		.instance = settings->instance,
 		.data_center = settings->data_center,
+		.apply = settings->apply,
+		.drain = settings->drain,
 		.publish = publish,
 		.ctx = process,
 	};
--- a/tests/unit/follow_test.c
+++ b/tests/unit/follow_test.c
@@ -137,6 +137,8 @@
 		.address = "127.0.0.1:1",
 		.instance = "north-1",
 		.data_center = "north",
+		.apply = 3000,
+		.drain = 3000,
 		.publish = publish,
 		.ctx = fixture,
 	};
@@ -369,6 +371,37 @@
 	wait_call(fixture, MC_SOURCE_TARGETS);
 }
 
+/* Many changes come in parts; the next part is asked for at once. */
+static void test_many_changes(void **state)
+{
+	fixture_t *fixture = *state;
+	mc_source_record_t many[40];
+	reply_t reply = { .kind = MC_SOURCE_TARGETS,
+			  .result = { .revision = 40 } };
+	mc_ms_t start;
+	char id[16];
+	int i;
+
+	for (i = 0; i < 40; i++) {
+		snprintf(id, sizeof(id), "t%d", i);
+		many[i] = target_record(id);
+		many[i].name = "t";
+	}
+	answer(fixture, &reply);
+	start = mc_clock_now(mc_clock_system());
+	for (i = 0; i < 40; i++) {
+		reply.result = (mc_source_result_t){
+			.revision = 41 + (uint64_t)i,
+			.record_count = 40,
+			.records = many,
+		};
+		answer(fixture, &reply);
+	}
+	/* With a pause behind each part these would take 20 s. */
+	assert_true(mc_clock_now(mc_clock_system()) - start < 10000);
+	assert_int_equal(known_targets(fixture, 40), 40);
+}
+
 #define FOLLOW_TEST(test) \
 	cmocka_unit_test_setup_teardown(test, set_up, tear_down)
 
@@ -379,6 +412,7 @@
 		FOLLOW_TEST(test_history_gone),
 		FOLLOW_TEST(test_map_goes_up),
 		FOLLOW_TEST(test_watches_anew),
+		FOLLOW_TEST(test_many_changes),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
