tier: an instance that is cut off from targets says so and sends callers on

Change: a service is reached unless one of its targets was missed and none heard of since; a request that lacks reach is refused at once, not run, with a close; half of the recent requests refused so make the instance not ready until connections without a request show that the routes are reached. "May have run" no longer counts what waits for a connection. Flaky before, traced: starts that waited 30 s had lost a port that was free to another test's connection; the site takes other ports then.

--- a/src/base/include/mc/base/error.h
+++ b/src/base/include/mc/base/error.h
@@ -37,6 +37,7 @@
 	X(STOPPING, "stopping", 503, true, 100)                    \
 	X(NOT_READY, "not_ready", 503, true, 500)                  \
 	X(STORE_UNAVAILABLE, "store_unavailable", 503, true, 1000) \
+	X(CUT_OFF, "cut_off", 503, true, 100)                      \
 	X(HISTORY_GONE, "history_gone", 503, true, 0)              \
 	X(CONFLICT, "conflict", 409, true, 0)                      \
 	X(DUPLICATE, "duplicate", 409, false, 0)                   \
--- a/src/map/include/mc/map.h
+++ b/src/map/include/mc/map.h
@@ -149,6 +149,9 @@
 /** mc_map_route_count() - number of routes */
 uint32_t mc_map_route_count(const mc_map_t *map);
 
+/** mc_map_route() - route @row, below the count, in no useful order */
+const mc_map_route_t *mc_map_route(const mc_map_t *map, uint32_t row);
+
 /** mc_map_service_count() - number of services */
 uint32_t mc_map_service_count(const mc_map_t *map);
 
--- a/src/map/map.c
+++ b/src/map/map.c
@@ -209,6 +209,11 @@
 	return (uint32_t)map->routes->nelts;
 }
 
+const mc_map_route_t *mc_map_route(const mc_map_t *map, uint32_t row)
+{
+	return &((mc_map_route_t *)map->routes->elts)[row];
+}
+
 uint32_t mc_map_service_count(const mc_map_t *map)
 {
 	return (uint32_t)map->services->nelts;
--- a/src/replica/health.c
+++ b/src/replica/health.c
@@ -11,7 +11,7 @@
 enum {
 	/* Shortest and longest time out, ms. */
 	OUT_MIN_MS = 300,
-	OUT_MAX_MS = 4000,
+	OUT_MAX_MS = 2400,
 	/* A target that was replaced is out until its entry changes, ms. */
 	OUT_REPLACED_MS = 10000,
 	/* Faults in a row that take a target out, but for the surest ones. */
@@ -81,6 +81,15 @@
 		add_latency(health, waited, usual, now);
 }
 
+void mc_health_reached(mc_health_t *health)
+{
+	/* After other faults a connection proves little. */
+	if (!health->unreachable)
+		return;
+	health->out_until = 0;
+	health->faults = 0;
+}
+
 static void take_out(mc_health_t *health, mc_ms_t time, mc_ms_t now)
 {
 	health->out_time = time;
@@ -103,6 +112,7 @@
 	}
 	if (was_out)
 		return false;
+	health->unreachable = fault == MC_REPLICA_UNREACHABLE;
 	if (fault != MC_REPLICA_UNREACHABLE && health->faults < FAULTS_OUT &&
 	    health->failing < failing_out && !health->out_until)
 		return false;
--- a/src/replica/include/mc/replica.h
+++ b/src/replica/include/mc/replica.h
@@ -38,7 +38,8 @@
  * @failing: smoothed share of requests that failed
  * @faults: faults in a row
  * @out_time: how long it was taken out the last time, ms
- * @out_until: it is out until then, ms
+ * @out_until: it is out until then, ms; 0 when it is not
+ * @unreachable: it is out as no connection could be made
  * @updated: when @slowness was last set, ms
  */
 typedef struct mc_health_t {
@@ -47,6 +48,7 @@
 	uint32_t faults;
 	mc_ms_t out_time;
 	mc_ms_t out_until;
+	bool unreachable;
 	mc_ms_t updated;
 } mc_health_t;
 
@@ -69,6 +71,9 @@
 bool mc_health_failed(mc_health_t *health, mc_replica_fault_t fault,
 		      mc_ms_t now);
 
+/** mc_health_reached() - a connection was made while it was out */
+void mc_health_reached(mc_health_t *health);
+
 /** mc_health_probed() - a request goes to it while it is to be probed */
 void mc_health_probed(mc_health_t *health, mc_ms_t now);
 
--- a/src/tier/pool.c
+++ b/src/tier/pool.c
@@ -82,6 +82,34 @@
 		target->link_count < service->links_max);
 }
 
+void target_missed(tier_t *tier, target_t *target)
+{
+	if (target->missed <= target->heard)
+		target->missed = mc_shard_now(tier->shard);
+}
+
+/* What a connection without a request has shown of its target. */
+static void note_probe(link_t *link, bool reached)
+{
+	tier_t *tier = link->tier;
+	target_t *target = mc_table_get(tier->targets, link->target);
+
+	if (!link->probes || !target)
+		return;
+	link->probes = false;
+	if (reached) {
+		target->heard = mc_shard_now(tier->shard);
+		mc_health_reached(&target->health);
+	} else {
+		target_missed(tier, target);
+		mc_health_failed(&target->health, MC_REPLICA_UNREACHABLE,
+				 mc_shard_now(tier->shard));
+	}
+	mc_log(tier->log, MC_LOG_INFO, "tier", "target %s target=%s address=%s",
+	       reached ? "is reached again" : "is still out of reach",
+	       target->entry.id, target->entry.address);
+}
+
 static void give_up_connect(mc_shard_t *shard, void *arg)
 {
 	link_t *link = arg;
@@ -90,6 +118,7 @@
 
 	(void)shard;
 	link->sent = MC_HANDLE_NONE;
+	note_probe(link, false);
 	pool_drop(tier, link);
 	if (sent)
 		send_broken(tier, sent, false);
@@ -125,6 +154,26 @@
 	return link;
 }
 
+void pool_probe(tier_t *tier, target_t *target)
+{
+	const service_t *service =
+		mc_table_get(tier->services, target->service);
+	link_t *link;
+
+	/* An idle connection says nothing: it may have been cut since. */
+	if (service && target->link_count >= service->links_max &&
+	    !TAILQ_EMPTY(&target->idle))
+		pool_drop(tier, TAILQ_LAST(&target->idle, links_t));
+	if (!service || target->link_count >= service->links_max)
+		return;
+	link = link_add(tier, target);
+	if (!link)
+		return;
+	link->probes = true;
+	target->probed = mc_shard_now(tier->shard);
+	mc_health_probed(&target->health, target->probed);
+}
+
 static void drop_expired(tier_t *tier, target_t *target)
 {
 	mc_ms_t now = mc_shard_now(tier->shard);
@@ -168,10 +217,20 @@
 static void link_opened(void *ctx, mc_handle_t connection)
 {
 	link_t *link = ctx;
+	target_t *target;
 
 	(void)connection;
 	link->open = true;
 	mc_timer_cancel(link->tier->shard, link->timer);
+	if (!link->probes)
+		return;
+	note_probe(link, true);
+	target = mc_table_get(link->tier->targets, link->target);
+	if (!target)
+		return;
+	link->idle_until = mc_shard_now(link->tier->shard) + IDLE_MS;
+	set_idle(link->tier, target, link, true);
+	wake_service(link->tier, link->target);
 }
 
 /* How long the target keeps an idle connection, from its answer. */
@@ -228,6 +287,7 @@
 	try_t *sent = mc_table_get(tier->tries, link->sent);
 
 	(void)connection;
+	note_probe(link, false);
 	link_free(tier, link);
 	if (sent)
 		send_broken(tier, sent, sent_bytes);
--- /dev/null
+++ b/src/tier/reach.c
@@ -0,0 +1,223 @@
+/*
+ * A service counts as reached unless one of its targets can't be reached or has
+ * been silent for longer than a pause of its own would take, and no other one
+ * has answered since. Whether targets are back is found out by connecting to
+ * them, so that no caller's request finds out, and an instance that gets no
+ * requests learns that it is no longer cut off.
+ */
+#include "reach.h"
+
+enum {
+	/* A belief about all services is used again for so long, ms. */
+	BELIEF_MS = 100,
+	/* Targets that are out are looked at this often, ms. */
+	PROBE_EVERY_MS = 250,
+	/* After a refusal for want of reach, for so long... */
+	DOUBT_MS = 1000,
+	/* ... all targets are looked at of which nothing was heard lately. */
+	HEARD_LIFE_MS = 500,
+	/* How many requests were refused for want of reach halves in this. */
+	RECENT_HALF_LIFE_MS = 300,
+	/* Fewer refusals than that say nothing of the instance. */
+	LACKING_MIN = 3,
+};
+
+/* Share of requests refused for want of reach from which on callers do better
+ * elsewhere. */
+static const double lacking_share = 0.5;
+
+static bool is_silent(const target_t *target, mc_ms_t now)
+{
+	const try_t *oldest = TAILQ_FIRST(&target->tries);
+
+	return oldest && now - oldest->sent_at > TIER_SILENT_MS;
+}
+
+/* Since when nothing is heard of a target; MC_MS_NEVER if all is well. */
+static mc_ms_t missed_since(const target_t *target, mc_ms_t now)
+{
+	if (is_silent(target, now))
+		return TAILQ_FIRST(&target->tries)->sent_at;
+	return target->missed > target->heard ? target->missed : MC_MS_NEVER;
+}
+
+bool reach_service(const tier_t *tier, const service_t *service)
+{
+	mc_ms_t now = mc_shard_now(tier->shard);
+	mc_ms_t missed = MC_MS_NEVER, heard = -1, since;
+	const target_t *target;
+	uint32_t usable = 0, i;
+
+	for (i = 0; i < service->target_count; i++) {
+		target = mc_table_get(tier->targets, service->targets[i]);
+		if (!target || target->out || target->replaced)
+			continue;
+		usable++;
+		since = missed_since(target, now);
+		if (since < missed)
+			missed = since;
+		if (since == MC_MS_NEVER && target->heard > heard)
+			heard = target->heard;
+	}
+	return usable && (missed == MC_MS_NEVER || heard >= missed);
+}
+
+/* Whether enough of a route's services are reached for an answer. */
+static bool route_reached(const tier_t *tier, const mc_map_t *map,
+			  const mc_map_route_t *route)
+{
+	bool all = route->shape == MC_MAP_ALL;
+	uint32_t reached = 0, i;
+
+	for (i = 0; i < route->count; i++) {
+		const service_t *service = mc_table_get(
+			tier->services,
+			tier->rows[mc_map_member(map, route, i)->service]);
+
+		if (service && reach_service(tier, service))
+			reached++;
+	}
+	return reached &&
+	       (!all || reached >= route->coverage_min * route->count);
+}
+
+/* What is recent halves with time. */
+static void let_fade(tier_t *tier)
+{
+	mc_ms_t now = mc_shard_now(tier->shard);
+
+	if (now - tier->recent_at < RECENT_HALF_LIFE_MS)
+		return;
+	tier->recent_at = now;
+	tier->recent /= 2;
+	tier->recent_lacking /= 2;
+}
+
+bool reach_enough(tier_t *tier, const request_t *request)
+{
+	bool enough = route_reached(tier, request->map, request->route);
+
+	let_fade(tier);
+	tier->recent++;
+	if (!enough) {
+		tier->recent_lacking++;
+		tier->doubts_until = mc_shard_now(tier->shard) + DOUBT_MS;
+		reach_probe_soon(tier);
+	}
+	if (request->book)
+		request->book->lacks = !enough;
+	return enough;
+}
+
+/* Whether a route that was refused for want of reach still lacks it. */
+static bool still_lacks(const tier_t *tier)
+{
+	const mc_map_t *map = tier->world ? tier->world->map : NULL;
+	uint32_t i;
+
+	for (i = 0; map && i < mc_map_route_count(map); i++) {
+		const mc_map_route_t *route = mc_map_route(map, i);
+		const book_t *book = apr_hash_get(tier->books, route->name,
+						  APR_HASH_KEY_STRING);
+
+		if (book && book->lacks && !route_reached(tier, map, route))
+			return true;
+	}
+	return false;
+}
+
+static void note_belief(tier_t *tier, bool cut_off)
+{
+	uint64_t bit = UINT64_C(1) << mc_shard_index(tier->shard);
+
+	if (cut_off == tier->cut_off)
+		return;
+	tier->cut_off = cut_off;
+	if (cut_off)
+		__atomic_fetch_or(&tier->process->cut_off_shards, bit,
+				  __ATOMIC_RELAXED);
+	else
+		__atomic_fetch_and(&tier->process->cut_off_shards, ~bit,
+				   __ATOMIC_RELAXED);
+	mc_log(tier->log, cut_off ? MC_LOG_WARNING : MC_LOG_NOTICE, "tier",
+	       "%s recent_requests=%.0f lacking_reach=%.0f",
+	       cut_off ? "cut off from too many targets"
+		       : "no longer cut off from targets",
+	       tier->recent, tier->recent_lacking);
+}
+
+bool reach_cut_off(tier_t *tier)
+{
+	mc_ms_t now = mc_shard_now(tier->shard);
+
+	if (now < tier->believed_until)
+		return tier->cut_off;
+	tier->believed_until = now + BELIEF_MS;
+	let_fade(tier);
+	if (tier->cut_off)
+		note_belief(tier, still_lacks(tier));
+	else
+		note_belief(tier, tier->recent_lacking >= LACKING_MIN &&
+					  tier->recent_lacking >=
+						  tier->recent * lacking_share);
+	return tier->cut_off;
+}
+
+/* Nothing was heard of a target lately, while the instance may be cut off. */
+static bool is_doubted(const tier_t *tier, const target_t *target, mc_ms_t now)
+{
+	return (tier->cut_off || now < tier->doubts_until) &&
+	       now - target->heard > HEARD_LIFE_MS;
+}
+
+/* Whether a new connection would tell something of @target. */
+static bool is_probed(const tier_t *tier, const target_t *target)
+{
+	const service_t *service =
+		mc_table_get(tier->services, target->service);
+
+	if (!service || !target->listed || target->replaced || target->out)
+		return false;
+	return (target->health.out_until && target->health.unreachable) ||
+	       !reach_service(tier, service) ||
+	       is_doubted(tier, target, mc_shard_now(tier->shard));
+}
+
+static bool is_probe_due(const target_t *target, mc_ms_t now)
+{
+	return now - target->probed >= PROBE_EVERY_MS && !target->in_flight &&
+	       target->health.out_until <= now;
+}
+
+static void probe(mc_shard_t *shard, void *arg)
+{
+	tier_t *tier = arg;
+	uint32_t cursor = 0;
+	mc_handle_t handle;
+	target_t *target;
+	bool more = tier->cut_off || mc_shard_now(shard) < tier->doubts_until;
+
+	tier->probe_timer = MC_HANDLE_NONE;
+	while ((target = mc_table_next(tier->targets, &cursor, &handle))) {
+		if (!is_probed(tier, target))
+			continue;
+		more = true;
+		if (is_probe_due(target, mc_shard_now(shard)))
+			pool_probe(tier, target);
+	}
+	if (more)
+		reach_probe_soon(tier);
+	reach_cut_off(tier);
+}
+
+void reach_probe_soon(tier_t *tier)
+{
+	if (tier->probe_timer.generation)
+		return;
+	if (mc_timer_set(tier->shard,
+			 mc_shard_now(tier->shard) + PROBE_EVERY_MS, probe,
+			 tier, &tier->probe_timer))
+		mc_log(tier->log, MC_LOG_ERROR, "tier",
+		       "targets that are out are not looked at: %s",
+		       mc_last_message());
+}
--- a/src/tier/ready.c
+++ b/src/tier/ready.c
@@ -1,7 +1,7 @@
 /*
  * Readiness for the platform's balancer, and metrics as text, each on an
- * address of its own. An instance is ready once it knows a map and targets,
- * until it is told to stop.
+ * address of its own. An instance is ready once it knows a map and targets and
+ * while it reaches them, until it is told to stop.
  */
 #include "tier_private.h"
 
@@ -20,7 +20,9 @@
 {
 	tier_t *tier = ctx;
 	bool ready = tier->world && tier->world->map &&
-		     tier->world->target_count && !tier->leaving;
+		     tier->world->target_count && !tier->leaving &&
+		     !__atomic_load_n(&tier->process->cut_off_shards,
+				      __ATOMIC_RELAXED);
 	mc_h1_answer_t answer = {
 		.status = ready ? STATUS_OK : STATUS_UNAVAILABLE,
 	};
--- a/src/tier/reply.c
+++ b/src/tier/reply.c
@@ -9,6 +9,7 @@
 #include <string.h>
 
 #include "head.h"
+#include "reach.h"
 
 enum {
 	LINES_SIZE = 256,
@@ -26,6 +27,8 @@
 		.lines = lines,
 		.body = kind->name,
 		.body_size = strlen(kind->name),
+		/* A caller that connects anew may come to another instance. */
+		.close = err == MC_ERR_CUT_OFF || reach_cut_off(tier),
 	};
 
 	mc_count(mc_shard_counters(tier->shard), MC_COUNTER_REFUSALS, 1);
@@ -71,6 +74,7 @@
 		.lines = lines,
 		.body = message->body,
 		.body_size = message->body_size,
+		.close = reach_cut_off(tier),
 	};
 
 	if (lines)
@@ -112,7 +116,11 @@
 	const mc_coming_t *coming = &request->coming;
 	size_t size = request->signatures_size + strlen(name) + LINES_SIZE;
 	char *lines = malloc(size);
-	mc_h1_answer_t answer = { .status = STATUS_OK, .lines = lines };
+	mc_h1_answer_t answer = {
+		.status = STATUS_OK,
+		.lines = lines,
+		.close = reach_cut_off(tier),
+	};
 	size_t used;
 
 	if (!lines) {
--- a/src/tier/request.c
+++ b/src/tier/request.c
@@ -10,6 +10,7 @@
 
 #include "head.h"
 #include "mc/hedge_time.h"
+#include "reach.h"
 
 enum {
 	/* Request and answer are on their way so long together, ms. */
@@ -108,7 +109,20 @@
 /* Whether some target may have run a part of the request. */
 static bool may_have_run(const request_t *request)
 {
-	return request->may_have_run || !TAILQ_EMPTY(&request->tries);
+	const try_t *sent;
+
+	if (request->may_have_run)
+		return true;
+	TAILQ_FOREACH(sent, &request->tries, of_request)
+	{
+		const link_t *link =
+			mc_table_get(request->tier->links, sent->link);
+
+		/* Nothing leaves before there is a connection. */
+		if (!link || link->open)
+			return true;
+	}
+	return false;
 }
 
 /* Ends with an error. What may have run is never told to be not run. */
@@ -495,6 +509,10 @@
 		end_refused(request, MC_ERR_OVERLOADED);
 		return;
 	}
+	if (!reach_enough(request->tier, request)) {
+		end_refused(request, MC_ERR_CUT_OFF);
+		return;
+	}
 	for (i = 0; i < request->part_count; i++)
 		part_go(&request->parts[i], false);
 	if (request->route->shape == MC_MAP_ONE &&
--- a/src/tier/send.c
+++ b/src/tier/send.c
@@ -7,6 +7,8 @@
 
 #include <string.h>
 
+#include "reach.h"
+
 enum {
 	LINES_SIZE = 512,
 	STATUS_OK_FIRST = 200,
@@ -139,6 +141,26 @@
 	return true;
 }
 
+static void note_fault(tier_t *tier, target_t *target, const request_t *request,
+		       mc_replica_fault_t fault, const char *what)
+{
+	mc_ms_t now = mc_shard_now(tier->shard);
+
+	mc_count(mc_shard_counters(tier->shard), MC_COUNTER_TARGET_FAILURES, 1);
+	if (fault == MC_REPLICA_UNREACHABLE || fault == MC_REPLICA_NO_ANSWER)
+		target_missed(tier, target);
+	if (!mc_health_failed(&target->health, fault, now))
+		return;
+	reach_probe_soon(tier);
+	mc_log(tier->log, MC_LOG_WARNING, "tier",
+	       "target is out target=%s address=%s reason=%s id=%s "
+	       "faults=%u out_ms=%lld",
+	       target->entry.id, target->entry.address, what,
+	       request && request->call.id ? request->call.id : "-",
+	       target->health.faults,
+	       (long long)(target->health.out_until - now));
+}
+
 void send_cancel(tier_t *tier, try_t *sent)
 {
 	target_t *target = mc_table_get(tier->targets, sent->target);
@@ -146,9 +168,13 @@
 	mc_ms_t now = mc_shard_now(tier->shard);
 	mc_ms_t waited = now - sent->sent_at;
 
+	if (target && waited > TIER_SILENT_MS)
+		target_missed(tier, target);
 	if (target && waited > SILENT_MS &&
 	    (double)waited > sent->usual * SILENT_TIMES)
-		mc_health_failed(&target->health, MC_REPLICA_NO_ANSWER, now);
+		note_fault(tier, target,
+			   mc_table_get(tier->requests, sent->request),
+			   MC_REPLICA_NO_ANSWER, "no_answer");
 	else if (target)
 		mc_health_waited(&target->health, waited, sent->usual, now);
 	forget(tier, sent);
@@ -195,23 +221,6 @@
 	metrics_add(&request->book->metrics->target, latency);
 }
 
-static void note_fault(tier_t *tier, target_t *target, const request_t *request,
-		       mc_replica_fault_t fault, const char *what)
-{
-	mc_ms_t now = mc_shard_now(tier->shard);
-
-	mc_count(mc_shard_counters(tier->shard), MC_COUNTER_TARGET_FAILURES, 1);
-	if (!mc_health_failed(&target->health, fault, now))
-		return;
-	mc_log(tier->log, MC_LOG_WARNING, "tier",
-	       "target is out target=%s address=%s reason=%s id=%s "
-	       "faults=%u out_ms=%lld",
-	       target->entry.id, target->entry.address, what,
-	       request && request->call.id ? request->call.id : "-",
-	       target->health.faults,
-	       (long long)(target->health.out_until - now));
-}
-
 static bool is_success(const mc_h1_message_t *message)
 {
 	return message->status >= STATUS_OK_FIRST &&
@@ -263,8 +272,10 @@
 			 MC_COUNTER_LATE_REPLIES, 1);
 		return false;
 	}
-	if (target)
+	if (target) {
+		target->heard = now;
 		note_report(target, &reply, now);
+	}
 	if (!request) {
 		forget(tier, sent);
 		return true;
--- a/src/tier/tier_private.h
+++ b/src/tier/tier_private.h
@@ -26,6 +26,9 @@
 	TIER_LINKS_MAX = 16384,
 	/* Ranks of routes that are told apart; the last one holds the rest. */
 	TIER_RANKS = 8,
+	/* A request that has waited so long for a target, longer than a pause
+	 * of its own takes, says that it may be out of reach, ms. */
+	TIER_SILENT_MS = 400,
 	/* Targets that one part of a request remembers. */
 	TIER_TRIED_MAX = 6,
 };
@@ -45,6 +48,8 @@
 typedef struct {
 	mc_quantile_t usual;
 	mc_quantile_t high;
+	/* The last request was refused for want of reach. */
+	bool lacks;
 	/* By how much answers at the goal leave late, ms. */
 	mc_quantile_t late;
 	metrics_row_t *metrics;
@@ -83,6 +88,13 @@
 	mc_ms_t cold_until;
 	mc_pace_t pace;
 	mc_health_t health;
+	/* When it last answered anything or took a connection, ms. */
+	mc_ms_t heard;
+	/* Since when it can't be reached or does not answer; before @heard when
+	 * that is over. */
+	mc_ms_t missed;
+	/* When a connection last was opened only to see whether that works. */
+	mc_ms_t probed;
 	uint32_t link_count;
 	struct links_t idle;
 	/* Requests under way, the oldest first. */
@@ -104,6 +116,8 @@
 	mc_handle_t sent;
 	bool open;
 	bool is_idle;
+	/* It was opened to see whether that works. */
+	bool probes;
 	/* Another's answer came on it: it is closed after its request. */
 	bool spoiled;
 	uint32_t uses;
@@ -195,6 +209,8 @@
 	int metrics;
 	int64_t settings_changed;
 	metrics_t metrics_rows;
+	/* A bit for each data shard that is cut off from too many targets. */
+	uint64_t cut_off_shards;
 } tier_process_t;
 
 struct tier_t {
@@ -212,6 +228,15 @@
 	double extra_share;
 	uint32_t extra_slack;
 	bool leaving;
+	/* Too much is refused for want of reach; until when that belief is
+	 * used; recent requests, and those of them that lacked reach. */
+	bool cut_off;
+	double recent;
+	double recent_lacking;
+	mc_ms_t recent_at;
+	mc_ms_t believed_until;
+	mc_ms_t doubts_until;
+	mc_handle_t probe_timer;
 	/* A point that moves evenly over [0, 1), for choices by weight. */
 	double spread;
 	mc_table_t *services;
@@ -253,6 +278,12 @@
 link_t *pool_take(tier_t *tier, const service_t *service, target_t *target,
 		  bool fresh);
 
+/** pool_probe() - connect without a request, to see whether that works */
+void pool_probe(tier_t *tier, target_t *target);
+
+/** target_missed() - a target could not be reached or did not answer */
+void target_missed(tier_t *tier, target_t *target);
+
 /** pool_drop() - close a connection, with what it carries */
 void pool_drop(tier_t *tier, link_t *link);
 
--- a/tests/system/raw_http.c
+++ b/tests/system/raw_http.c
@@ -32,7 +32,6 @@
 	int listener;
 	uint16_t port;
 	bool stopping;
-	bool refuses;
 	uint32_t taken;
 	raw_handler_t handler;
 	void *ctx;
@@ -180,7 +179,7 @@
 		if (!server->connections[i].used ||
 		    server->connections[i].fd < 0)
 			slot = &server->connections[i];
-	if (!slot || server->refuses || server->stopping) {
+	if (!slot || server->stopping) {
 		close(fd);
 		pthread_mutex_unlock(&server->lock);
 		return;
@@ -208,25 +207,43 @@
 	}
 }
 
-raw_server_t *raw_server_start(raw_handler_t handler, void *ctx)
+/* Listens at the server's port, or at one of the kernel's if it has none. */
+static void listen_anew(raw_server_t *server)
 {
+	const int on = 1;
 	struct sockaddr_in address = {
 		.sin_family = AF_INET,
+		.sin_port = htons(server->port),
 		.sin_addr.s_addr = htonl(INADDR_LOOPBACK),
 	};
 	socklen_t size = sizeof(address);
-	raw_server_t *server = calloc(1, sizeof(*server));
 
-	pthread_mutex_init(&server->lock, NULL);
-	server->handler = handler;
-	server->ctx = ctx;
 	server->listener = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	setsockopt(server->listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
 	if (bind(server->listener, (struct sockaddr *)&address, size) ||
 	    listen(server->listener, BACKLOG) ||
 	    getsockname(server->listener, (struct sockaddr *)&address, &size))
 		abort();
 	server->port = ntohs(address.sin_port);
 	pthread_create(&server->thread, NULL, run_server, server);
+}
+
+static void listen_no_more(raw_server_t *server)
+{
+	shutdown(server->listener, SHUT_RDWR);
+	pthread_join(server->thread, NULL);
+	close(server->listener);
+	server->listener = -1;
+}
+
+raw_server_t *raw_server_start(raw_handler_t handler, void *ctx)
+{
+	raw_server_t *server = calloc(1, sizeof(*server));
+
+	pthread_mutex_init(&server->lock, NULL);
+	server->handler = handler;
+	server->ctx = ctx;
+	listen_anew(server);
 	return server;
 }
 
@@ -249,9 +266,10 @@
 
 void raw_server_refuse(raw_server_t *server, bool refuse)
 {
-	pthread_mutex_lock(&server->lock);
-	server->refuses = refuse;
-	pthread_mutex_unlock(&server->lock);
+	if (refuse && server->listener >= 0)
+		listen_no_more(server);
+	else if (!refuse && server->listener < 0)
+		listen_anew(server);
 }
 
 uint32_t raw_server_connections(raw_server_t *server)
@@ -273,9 +291,7 @@
 	pthread_mutex_lock(&server->lock);
 	server->stopping = true;
 	pthread_mutex_unlock(&server->lock);
-	shutdown(server->listener, SHUT_RDWR);
-	pthread_join(server->thread, NULL);
-	close(server->listener);
+	raw_server_refuse(server, true);
 	raw_server_cut(server);
 	for (i = 0; i < CONNECTIONS_MAX; i++)
 		if (server->connections[i].used)
--- a/tests/system/raw_http.h
+++ b/tests/system/raw_http.h
@@ -62,7 +62,7 @@
 /** raw_server_cut() - close all connections; new ones are taken */
 void raw_server_cut(raw_server_t *server);
 
-/** raw_server_refuse() - close new connections at once while @refuse */
+/** raw_server_refuse() - listen no more, or anew at the same port */
 void raw_server_refuse(raw_server_t *server, bool refuse);
 
 /** raw_server_connections() - connections that were taken so far */
--- a/tests/system/searchers.c
+++ b/tests/system/searchers.c
@@ -273,6 +273,13 @@
 	return raw_server_connections(searcher->server);
 }
 
+void searcher_down(searcher_t *searcher, bool down)
+{
+	raw_server_refuse(searcher->server, down);
+	if (down)
+		raw_server_cut(searcher->server);
+}
+
 void searcher_cut(searcher_t *searcher)
 {
 	raw_server_cut(searcher->server);
--- a/tests/system/searchers.h
+++ b/tests/system/searchers.h
@@ -71,6 +71,9 @@
 /** searcher_connections() - connections that it took */
 uint32_t searcher_connections(searcher_t *searcher);
 
+/** searcher_down() - refuse connections and cut those that are open */
+void searcher_down(searcher_t *searcher, bool down);
+
 /** searcher_cut() - close its connections */
 void searcher_cut(searcher_t *searcher);
 
--- a/tests/system/site.c
+++ b/tests/system/site.c
@@ -121,6 +121,11 @@
 	return status == 200;
 }
 
+bool site_is_ready(site_t *site, uint32_t index)
+{
+	return is_ready(site->instances[index].ready);
+}
+
 typedef struct {
 	uint16_t port;
 	bool ready;
@@ -153,6 +158,37 @@
 	return true;
 }
 
+typedef struct {
+	site_t *site;
+	uint32_t index;
+} start_t;
+
+static bool is_started_or_ended(void *ctx)
+{
+	const start_t *start = ctx;
+	const site_instance_t *instance = &start->site->instances[start->index];
+
+	return is_ready(instance->ready) ||
+	       !harness_running(start->site->harness, instance->process);
+}
+
+/* A port that was free may be taken by a connection of another test. */
+static void start_for_good(site_t *site, uint32_t index)
+{
+	start_t start = { site, index };
+	int tries;
+
+	for (tries = 0; tries < 5; tries++) {
+		site_start(site, index);
+		harness_wait("start", is_started_or_ended, &start);
+		if (harness_running(site->harness,
+				    site->instances[index].process))
+			break;
+		site->instances[index].callers = 0;
+	}
+	site_wait_ready(site, index, true);
+}
+
 site_t *site_create(const char *name, uint32_t instances)
 {
 	site_t *site = calloc(1, sizeof(*site));
@@ -175,9 +211,7 @@
 		searcher_register(site->singles[i], site->objects, "ready");
 	}
 	for (i = 0; i < instances; i++)
-		site_start(site, i);
-	for (i = 0; i < instances; i++)
-		site_wait_ready(site, i, true);
+		start_for_good(site, i);
 	harness_wait("targets", knows_targets, site);
 	return site;
 }
--- a/tests/system/site.h
+++ b/tests/system/site.h
@@ -47,6 +47,9 @@
 /** site_wait_ready() - wait until instance @index is ready, or not */
 void site_wait_ready(site_t *site, uint32_t index, bool ready);
 
+/** site_is_ready() - whether instance @index says so now */
+bool site_is_ready(site_t *site, uint32_t index);
+
 /** site_configure() - the next version; @extra is a route more, or NULL */
 void site_configure(site_t *site, json_t *extra);
 
--- a/tests/system/tier_test.c
+++ b/tests/system/tier_test.c
@@ -384,6 +384,60 @@
 		harness_stop(site->harness, site->instances[0].process, 0), 0);
 }
 
+static void shards_down(site_t *site, bool down)
+{
+	int i, j;
+
+	for (i = 0; i < SITE_SHARDS; i++)
+		for (j = 0; j < SITE_REPLICAS; j++)
+			searcher_down(site->shards[i][j], down);
+}
+
+static bool unready_under_load(void *ctx)
+{
+	site_t *site = ctx;
+	int i;
+
+	for (i = 0; i < 8; i++)
+		site_ask(site, 0, "GET", "/all/x", LEFT_MS);
+	return !site_is_ready(site, 0);
+}
+
+/*
+ * An instance that reaches hardly any target says that it is not ready, refuses
+ * at once what it can't do and sends callers elsewhere; connections alone show
+ * that targets are back, without a caller's request.
+ */
+static void test_cut_off(void **state)
+{
+	site_t *site = *state;
+	site_answer_t answer;
+	mc_ms_t start;
+	int tries = 0;
+
+	shards_down(site, true);
+	harness_wait("not ready", unready_under_load, site);
+	/* Each data shard finds out by a request of its own. */
+	do {
+		start = mc_clock_now(mc_clock_system());
+		answer = site_ask(site, 0, "GET", "/all/x", LEFT_MS);
+		/* A kept connection that breaks leaves the run in doubt. */
+		if (answer.status != 503 && answer.status != 502)
+			fail_msg("status %d: %s", answer.status, answer.body);
+	} while (strcmp(answer.body, "cut_off") && ++tries < 50);
+	assert_string_equal(answer.body, "cut_off");
+	assert_non_null(strstr(answer.head, "Retry-After: 0."));
+	assert_non_null(strstr(answer.head, "Connection: close"));
+	assert_true(mc_clock_now(mc_clock_system()) - start < LEFT_MS);
+	/* What needs only the reachable service is still done. */
+	assert_int_equal(site_ask(site, 0, "GET", "/one/x", LEFT_MS).status,
+			 200);
+	shards_down(site, false);
+	site_wait_ready(site, 0, true);
+	answer = site_ask(site, 0, "GET", "/all/x", LEFT_MS);
+	assert_int_equal(answer.status, 200);
+}
+
 static bool know_each_other(void *ctx)
 {
 	return site_metric(ctx, 0, "mangocove_instances") == 2 &&
@@ -425,6 +479,7 @@
 		TIER_TEST(test_drains),
 		TIER_TEST(test_caller_gone),
 		TIER_TEST(test_planned_stop),
+		TIER_TEST(test_cut_off),
 		cmocka_unit_test_setup_teardown(test_instances_share,
 						set_up_two, tear_down),
 	};
--- a/tests/unit/replica_test.c
+++ b/tests/unit/replica_test.c
@@ -54,6 +54,22 @@
 	assert_true(out);
 }
 
+/* A connection proves that a target can be reached, and no more than that. */
+static void test_reached(void **state)
+{
+	mc_health_t health = { 0 };
+
+	(void)state;
+	mc_health_failed(&health, MC_REPLICA_UNREACHABLE, 0);
+	mc_health_reached(&health);
+	assert_int_equal(level(&health, 1), MC_REPLICA_GOOD);
+	health = (mc_health_t){ 0 };
+	while (!mc_health_failed(&health, MC_REPLICA_NO_ANSWER, 0))
+		;
+	mc_health_reached(&health);
+	assert_int_equal(level(&health, 1), MC_REPLICA_OUT);
+}
+
 static void test_slow(void **state)
 {
 	mc_health_t health = { 0 };
@@ -118,6 +134,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_unreachable),
 		cmocka_unit_test(test_errors),
+		cmocka_unit_test(test_reached),
 		cmocka_unit_test(test_slow),
 		cmocka_unit_test(test_pick),
 		cmocka_unit_test(test_careful),
