tests: a fault soak of the tier

Change: three instances between relays (delay, silence, one way, reset) and the stand-ins; kills, planned stops, pauses, SIGHUP; a store that is silent, down or forgets; searchers that are down, drain, are replaced or answer wrongly; changes; all in overlapping series from a seed. Callers on kept connections check every answer; afterwards each instance must be ready, newest and whole.

--- a/Makefile
+++ b/Makefile
@@ -16,8 +16,13 @@
 SECONDS ?= 8
 RATE ?= 100
 
+# Seeds of "make soak", from FIRST on, each of SOAK_SECONDS.
+SEEDS ?= 10
+FIRST ?= 1
+SOAK_SECONDS ?= 10
+
 .PHONY: all packages build build-fuzz test test-fuzz check lint format fuzz \
-	check-sanitize demo bench clean
+	check-sanitize demo bench soak clean
 
 all: build
 
@@ -61,6 +66,15 @@
 	@cd $(BUILD) && ./bench/bench $(SCENARIO) $(SECONDS) $(RATE) \
 		"$(CURDIR)/bench/out"
 
+# The fault soak with many seeds; stops at the first that fails.
+soak: build
+	@cd $(BUILD) && for seed in $$(seq $(FIRST) \
+		$$(($(FIRST) + $(SEEDS) - 1))); do \
+		./tests/soak/soak $$seed $(SOAK_SECONDS) >soak.out 2>&1 || \
+			{ cat soak.out; exit 1; }; \
+		grep ^seed soak.out; \
+	done
+
 fuzz: build-fuzz
 	@for f in $(BUILD)-fuzz/tests/fuzz/*_fuzz; do \
 		$$f -seed=$$(date +%s) -runs=$(FUZZ_RUNS) -max_len=2048 \
--- a/tests/system/searchers.c
+++ b/tests/system/searchers.c
@@ -30,6 +30,8 @@
 	uint32_t arrivals;
 	uint32_t run_count;
 	char (*runs)[SEARCHER_ID_SIZE];
+	/* First letter of the method of each run. */
+	char methods[RUNS_MAX];
 	char last[RAW_HEAD_MAX];
 };
 
@@ -166,9 +168,11 @@
 	}
 	fault = take_fault(searcher);
 	delay = searcher->delay;
-	if (fault != SEARCHER_SHEDS && searcher->run_count < RUNS_MAX)
+	if (fault != SEARCHER_SHEDS && searcher->run_count < RUNS_MAX) {
+		searcher->methods[searcher->run_count] = request->method[0];
 		snprintf(searcher->runs[searcher->run_count++],
 			 SEARCHER_ID_SIZE, "%s", attempt);
+	}
 	pthread_mutex_unlock(&searcher->lock);
 	if (delay)
 		usleep((useconds_t)(delay * US_PER_MS));
@@ -202,13 +206,12 @@
 	free(searcher);
 }
 
-void searcher_register(searcher_t *searcher, objects_t *objects,
-		       const char *state)
+void searcher_register_at(searcher_t *searcher, objects_t *objects,
+			  const char *state, uint16_t port)
 {
 	char address[NAME_SIZE];
 
-	snprintf(address, sizeof(address), "127.0.0.1:%u",
-		 raw_server_port(searcher->server));
+	snprintf(address, sizeof(address), "127.0.0.1:%u", port);
 	objects_put(objects, "servers", searcher->id,
 		    json_pack("{ss ss ss ss si ss si si sI}", "backend",
 			      searcher->service, "address", address, "zone",
@@ -218,6 +221,41 @@
 			      (json_int_t)1000 + searcher->incarnation));
 }
 
+void searcher_register(searcher_t *searcher, objects_t *objects,
+		       const char *state)
+{
+	searcher_register_at(searcher, objects, state,
+			     raw_server_port(searcher->server));
+}
+
+uint16_t searcher_port(const searcher_t *searcher)
+{
+	return raw_server_port(searcher->server);
+}
+
+static int by_text(const void *a, const void *b)
+{
+	return strcmp(*(char *const *)a, *(char *const *)b);
+}
+
+uint32_t searcher_run_twice(searcher_t *const *searchers, uint32_t count,
+			    const char *method)
+{
+	char **ids = calloc((size_t)RUNS_MAX * count, sizeof(*ids));
+	uint32_t found = 0, twice = 0, i, j;
+
+	for (i = 0; i < count; i++)
+		for (j = 0; j < searchers[i]->run_count; j++)
+			if (searchers[i]->methods[j] == method[0])
+				ids[found++] = searchers[i]->runs[j];
+	qsort(ids, found, sizeof(*ids), by_text);
+	for (i = 1; i < found; i++)
+		if (!strcmp(ids[i - 1], ids[i]))
+			twice++;
+	free(ids);
+	return twice;
+}
+
 const char *searcher_id(const searcher_t *searcher)
 {
 	return searcher->id;
--- a/tests/system/searchers.h
+++ b/tests/system/searchers.h
@@ -50,6 +50,18 @@
 void searcher_register(searcher_t *searcher, objects_t *objects,
 		       const char *state);
 
+/** searcher_register_at() - the same, reached at another port */
+void searcher_register_at(searcher_t *searcher, objects_t *objects,
+			  const char *state, uint16_t port);
+
+/** searcher_port() - its own port */
+uint16_t searcher_port(const searcher_t *searcher);
+
+/** searcher_run_twice() - attempts of requests of @method that ran more than
+ * once at some of the searchers */
+uint32_t searcher_run_twice(searcher_t *const *searchers, uint32_t count,
+			    const char *method);
+
 /** searcher_id() - its id */
 const char *searcher_id(const searcher_t *searcher);
 
--- a/tests/system/site.c
+++ b/tests/system/site.c
@@ -84,8 +84,11 @@
 		"instance = \"tier-%u\"\ncallers = \"127.0.0.1:%u\"\n"
 		"ready = \"127.0.0.1:%u\"\nmetrics = \"127.0.0.1:%u\"\n"
 		"notice_ms = 500\nextra_share = 0.2\nextra_slack = 200\n",
-		index % 2, objects_port(site->objects), SITE_GRACE_MS, index,
-		instance->callers, instance->ready, instance->metrics);
+		index % 2,
+		site->store_port ? site->store_port
+				 : objects_port(site->objects),
+		SITE_GRACE_MS, index, instance->callers, instance->ready,
+		instance->metrics);
 	fclose(file);
 }
 
@@ -173,7 +176,7 @@
 }
 
 /* A port that was free may be taken by a connection of another test. */
-static void start_for_good(site_t *site, uint32_t index)
+void site_start_for_good(site_t *site, uint32_t index)
 {
 	start_t start = { site, index };
 	int tries;
@@ -211,8 +214,9 @@
 		searcher_register(site->singles[i], site->objects, "ready");
 	}
 	for (i = 0; i < instances; i++)
-		start_for_good(site, i);
-	harness_wait("targets", knows_targets, site);
+		site_start_for_good(site, i);
+	if (instances)
+		harness_wait("targets", knows_targets, site);
 	return site;
 }
 
--- a/tests/system/site.h
+++ b/tests/system/site.h
@@ -31,6 +31,8 @@
 	searcher_t *singles[SITE_SINGLES];
 	uint32_t instance_count;
 	site_instance_t instances[SITE_INSTANCES_MAX];
+	/* Where instances reach the store, if not at its own port. */
+	uint16_t store_port;
 	uint64_t version;
 	unsigned int attempts;
 } site_t;
@@ -44,6 +46,9 @@
 /** site_start() - start instance @index, without waiting for it */
 void site_start(site_t *site, uint32_t index);
 
+/** site_start_for_good() - start instance @index and wait until it is ready */
+void site_start_for_good(site_t *site, uint32_t index);
+
 /** site_wait_ready() - wait until instance @index is ready, or not */
 void site_wait_ready(site_t *site, uint32_t index, bool ready);
 
