tier: requests, their ends and their times in a file each

Change: end.c (log, counts and answer of a request's end), timing.c (goal, second targets, end), request.c (parts). The relay's flag is atomic, which the thread sanitizer reported.

--- a/src/tier/request.c
+++ b/src/tier/request.c
@@ -1,179 +1,20 @@
 /*
  * A request's life: it begins with its parts, each of which is sent or waits;
- * parts come in, fail and are sent again; it ends with one answer, or without
- * one when its caller has gone.
+ * parts come in, fail and are sent again, until it ends.
  */
 #include "tier_private.h"
 
 #include <stdlib.h>
-#include <string.h>
 
+#include "end.h"
 #include "head.h"
-#include "mc/hedge_time.h"
 #include "reach.h"
-
-enum {
-	/* Request and answer are on their way so long together, ms. */
-	GOAL_TRAVEL_MS = 8,
-	/* Share of the goal that may be given up to arrive within it, 1/n. */
-	GOAL_RESERVE_PART = 3,
-	TIME_LEFT_MAX_MS = 600000,
-};
+#include "timing.h"
 
 /* Step by which the point for choices by weight moves: the golden ratio. */
 static const double spread_step = 0.6180339887498949;
 
-static const char *id_of(const request_t *request)
-{
-	return request->call.id ? request->call.id : "-";
-}
-
-static void part_unwait(part_t *part)
-{
-	tier_t *tier = part->request->tier;
-	service_t *service = mc_table_get(tier->services, part->service);
-	uint32_t rank = part->request->route->rank;
-
-	if (part->state != PART_WAITS || !service)
-		return;
-	rank = rank < TIER_RANKS ? rank : TIER_RANKS - 1;
-	TAILQ_REMOVE(&service->waiting[rank], part, entry);
-	service->waiting_count--;
-}
-
-static void request_free(request_t *request)
-{
-	tier_t *tier = request->tier;
-	try_t *sent;
-	uint32_t i;
-
-	while ((sent = TAILQ_FIRST(&request->tries)))
-		send_cancel(tier, sent);
-	for (i = 0; i < request->part_count; i++)
-		part_unwait(&request->parts[i]);
-	mc_timer_cancel(tier->shard, request->timer);
-	mc_records_free(&request->records);
-	free(request->signatures);
-	free(request->parts);
-	free(request->head);
-	mc_map_unref(request->map);
-	mc_table_remove(tier->requests, request->handle);
-}
-
-void requests_free(tier_t *tier)
-{
-	uint32_t cursor = 0;
-	mc_handle_t handle;
-	request_t *request;
-
-	while (tier->requests &&
-	       (request = mc_table_next(tier->requests, &cursor, &handle)))
-		request_free(request);
-}
-
-/* One line for each request; successes are the first to be suppressed. */
-static void log_end(const request_t *request, const char *outcome)
-{
-	tier_t *tier = request->tier;
-	bool whole = !strcmp(outcome, "ok") && !request->coming.out &&
-		     request->coming.in == request->coming.total;
-
-	mc_log(tier->log, whole ? MC_LOG_DEBUG : MC_LOG_INFO, "tier",
-	       "request done id=%s route=%s map=%llu outcome=%s ms=%lld "
-	       "left_ms=%lld parts=%u/%u failed=%u sends=%u hedges=%u",
-	       id_of(request), request->route->name,
-	       (unsigned long long)mc_map_version(request->map), outcome,
-	       (long long)(mc_shard_now(tier->shard) - request->begun),
-	       (long long)(request->end_at - mc_shard_now(tier->shard)),
-	       request->coming.in, request->coming.total, request->coming.out,
-	       request->sends, request->hedges);
-}
-
-static void note_end(const request_t *request, metrics_outcome_t outcome)
-{
-	mc_counters_t *counters = mc_shard_counters(request->tier->shard);
-	mc_ms_t time = mc_shard_now(request->tier->shard) - request->begun;
-
-	if (request->book) {
-		metrics_count(request->book->metrics, outcome);
-		metrics_add(&request->book->metrics->total, time);
-	}
-	if (outcome != METRICS_WHOLE && outcome != METRICS_PARTIAL)
-		return;
-	mc_count(counters, MC_COUNTER_ANSWERS, 1);
-	mc_count_latency(counters, time);
-	if (outcome == METRICS_PARTIAL)
-		mc_count(counters, MC_COUNTER_ANSWERS_PARTIAL, 1);
-}
-
-/* Whether some target may have run a part of the request. */
-static bool may_have_run(const request_t *request)
-{
-	const try_t *sent;
-
-	if (request->may_have_run)
-		return true;
-	TAILQ_FOREACH(sent, &request->tries, of_request)
-	{
-		const link_t *link =
-			mc_table_get(request->tier->links, sent->link);
-
-		/* Nothing leaves before there is a connection. */
-		if (!link || link->open)
-			return true;
-	}
-	return false;
-}
-
-/* Ends with an error. What may have run is never told to be not run. */
-static void end_refused(request_t *request, mc_err_t reason)
-{
-	tier_t *tier = request->tier;
-	mc_handle_t caller = request->caller;
-
-	if (may_have_run(request) && mc_error_answer(reason)->not_run)
-		reason = MC_ERR_OUTCOME_UNKNOWN;
-	log_end(request, mc_error_name(reason));
-	note_end(request, mc_error_answer(reason)->not_run ? METRICS_REFUSED
-							   : METRICS_UNKNOWN);
-	request_free(request);
-	reply_refuse(tier, caller, reason);
-}
-
-static void end_forwarded(request_t *request, const mc_h1_message_t *message,
-			  bool served)
-{
-	log_end(request, served ? "ok" : "target_status");
-	note_end(request, served ? METRICS_WHOLE : METRICS_FAILED_BY_TARGET);
-	reply_forward(request, message);
-	request_free(request);
-}
-
-/* How much later than it was due an answer at the goal has left. */
-static void note_late(request_t *request)
-{
-	static const double most = 0.9;
-	mc_ms_t now = mc_clock_now(mc_shard_clock(request->tier->shard));
-
-	if (request->book && now >= request->goal_at &&
-	    request->coming.in < request->coming.total)
-		mc_quantile_add(&request->book->late, most,
-				now - request->goal_at);
-}
-
-static void end_merged(request_t *request)
-{
-	log_end(request, "ok");
-	note_end(request, request->coming.in < request->coming.total
-				  ? METRICS_PARTIAL
-				  : METRICS_WHOLE);
-	reply_merged(request);
-	note_late(request);
-	request_free(request);
-}
-
-/* Returns false when the request has ended. */
-static bool progress(request_t *request)
+bool request_progress(request_t *request)
 {
 	mc_ms_t now = mc_shard_now(request->tier->shard);
 	bool past_end = now >= request->end_at;
@@ -196,92 +37,12 @@
 	case MC_DUE_FAIL:
 		break;
 	}
-	if (!may_have_run(request) && !past_end)
+	if (!end_may_have_run(request) && !past_end)
 		reason = MC_ERR_NO_TARGET;
 	end_refused(request, reason);
 	return false;
 }
 
-static mc_ms_t hedge_time(const request_t *request)
-{
-	const book_t *book = request->book;
-
-	if (!book || !request->repeatable)
-		return MC_MS_NEVER;
-	return mc_hedge_time(&book->usual, &book->high, request->route->goal);
-}
-
-static bool can_hedge(const part_t *part)
-{
-	return part->state == PART_SENT && part->open == 1 && !part->hedged &&
-	       part->tries.runs < part->tries.runs_max;
-}
-
-static void hedge(part_t *part)
-{
-	tier_t *tier = part->request->tier;
-	service_t *service = mc_table_get(tier->services, part->service);
-
-	part->hedged = true;
-	if (!service)
-		return;
-	if (!mc_budget_spend(&service->extras)) {
-		mc_count(mc_shard_counters(tier->shard),
-			 MC_COUNTER_RETRIES_DENIED, 1);
-		return;
-	}
-	if (!send_part(tier, part, true)) {
-		mc_budget_refund(&service->extras);
-		return;
-	}
-	part->request->hedges++;
-	mc_count(mc_shard_counters(tier->shard), MC_COUNTER_HEDGES, 1);
-}
-
-static void check(mc_shard_t *shard, void *arg);
-
-/* Sets the timer for what comes first: a hedge, the goal, or the end. */
-static void schedule(request_t *request)
-{
-	mc_shard_t *shard = request->tier->shard;
-	mc_ms_t now = mc_shard_now(shard);
-	mc_ms_t delay = hedge_time(request);
-	mc_ms_t at = request->end_at;
-	uint32_t i;
-
-	if (request->route->shape == MC_MAP_ALL && now < request->goal_at &&
-	    request->goal_at < at)
-		at = request->goal_at;
-	for (i = 0; delay != MC_MS_NEVER && i < request->part_count; i++) {
-		const part_t *part = &request->parts[i];
-
-		if (can_hedge(part) && part->sent_at + delay < at)
-			at = part->sent_at + delay;
-	}
-	mc_timer_cancel(shard, request->timer);
-	if (mc_timer_set(shard, at > now ? at : now + 1, check, request,
-			 &request->timer))
-		mc_log(request->tier->log, MC_LOG_ERROR, "tier",
-		       "request without a timer id=%s: %s", id_of(request),
-		       mc_last_message());
-}
-
-static void check(mc_shard_t *shard, void *arg)
-{
-	request_t *request = arg;
-	mc_ms_t now = mc_shard_now(shard);
-	mc_ms_t delay = hedge_time(request);
-	uint32_t i;
-
-	if (!progress(request))
-		return;
-	for (i = 0; delay != MC_MS_NEVER && i < request->part_count; i++)
-		if (can_hedge(&request->parts[i]) &&
-		    request->parts[i].sent_at + delay <= now)
-			hedge(&request->parts[i]);
-	schedule(request);
-}
-
 /* Sends the part now, or lets it wait for room at its service's targets. */
 static void part_go(part_t *part, bool extra)
 {
@@ -329,21 +90,7 @@
 		end_refused(request, MC_ERR_NO_MEMORY);
 		return;
 	}
-	progress(request);
-}
-
-/* A single request's failure: the target's own answer, or ours. */
-static void end_failed(request_t *request, mc_end_t end, mc_err_t reason,
-		       const mc_h1_message_t *message, const mc_reply_t *reply)
-{
-	tier_t *tier = request->tier;
-
-	if (end == MC_END_FAILED && message && reply->signature &&
-	    !tier->dialect->is_promise(message->status) &&
-	    message->status >= 300)
-		end_forwarded(request, message, false);
-	else
-		end_refused(request, reason);
+	request_progress(request);
 }
 
 static bool pay(const part_t *part)
@@ -367,7 +114,7 @@
 	mc_log(request->tier->log, MC_LOG_INFO, "tier",
 	       "part failed id=%s service=%s reason=%s status=%d sends=%u "
 	       "runs=%u next=%s",
-	       id_of(request), service ? service->name : "-",
+	       request_id(request), service ? service->name : "-",
 	       mc_error_name(reason), message ? message->status : 0,
 	       part->tries.sends, part->tries.runs, next);
 }
@@ -402,8 +149,8 @@
 	}
 	if (part->state == PART_OUT && request->route->shape == MC_MAP_ONE)
 		end_failed(request, end, reason, message, reply);
-	else if (progress(request))
-		schedule(request);
+	else if (request_progress(request))
+		timing_schedule(request);
 }
 
 static mc_err_t make_parts(request_t *request)
@@ -441,34 +188,6 @@
 	return MC_OK;
 }
 
-/*
- * How long before the goal an answer is due: what it takes on its way, and what
- * this instance takes to get to it and write it while it is busy.
- */
-static mc_ms_t reserve_of(const request_t *request)
-{
-	mc_ms_t most = request->route->goal / GOAL_RESERVE_PART;
-	mc_ms_t reserve = GOAL_TRAVEL_MS;
-
-	if (request->book)
-		reserve += (mc_ms_t)request->book->late.value;
-	return reserve < most ? reserve : most;
-}
-
-static void set_times(request_t *request, mc_ms_t first_byte)
-{
-	const mc_map_route_t *route = request->route;
-	mc_ms_t left = request->call.time_left;
-
-	if (left < 0 || left > TIME_LEFT_MAX_MS)
-		left = TIME_LEFT_MAX_MS;
-	if (left > route->timeout)
-		left = route->timeout;
-	request->begun = first_byte;
-	request->end_at = first_byte + left;
-	request->goal_at = first_byte + route->goal - reserve_of(request);
-}
-
 static request_t *request_add(tier_t *tier, mc_handle_t caller,
 			      const mc_map_route_t *route,
 			      const mc_h1_message_t *message,
@@ -518,8 +237,8 @@
 	if (request->route->shape == MC_MAP_ONE &&
 	    request->parts[0].state == PART_OUT)
 		end_refused(request, request->parts[0].reason);
-	else if (progress(request))
-		schedule(request);
+	else if (request_progress(request))
+		timing_schedule(request);
 }
 
 void request_begin(tier_t *tier, mc_handle_t caller,
@@ -542,7 +261,7 @@
 	request = refusal ? NULL
 			  : request_add(tier, caller, route, message, &call);
 	if (request) {
-		set_times(request, first_byte);
+		timing_set(request, first_byte);
 		request_start(request);
 		return;
 	}
@@ -565,11 +284,7 @@
 	while ((request = mc_table_next(tier->requests, &cursor, &handle))) {
 		if (!mc_handle_equal(request->caller, caller))
 			continue;
-		mc_count(mc_shard_counters(tier->shard),
-			 MC_COUNTER_CALLERS_GONE, 1);
-		log_end(request, "caller_gone");
-		note_end(request, METRICS_GONE);
-		request_free(request);
+		end_gone(request);
 		return;
 	}
 }
--- a/src/tier/tier_private.h
+++ b/src/tier/tier_private.h
@@ -337,6 +337,11 @@
 			 mc_err_t reason, const mc_h1_message_t *message,
 			 const mc_reply_t *reply);
 
+/** request_progress() - end it if that is due; false when it has ended */
+bool request_progress(request_t *request);
+
+/* end.c: how requests end; the rest of it in end.h */
+
 /** requests_free() - all of them, without answers */
 void requests_free(tier_t *tier);
 
--- /dev/null
+++ b/src/tier/timing.h
@@ -0,0 +1,15 @@
+/*
+ * What is due for a request, and when.
+ */
+#ifndef MC_TIER_TIMING_H
+#define MC_TIER_TIMING_H
+
+#include "tier_private.h"
+
+/** timing_set() - goal and end of a request whose first byte came then, ms */
+void timing_set(request_t *request, mc_ms_t first_byte);
+
+/** timing_schedule() - set the timer for what is due first */
+void timing_schedule(request_t *request);
+
+#endif
--- a/tests/soak/relay.c
+++ b/tests/soak/relay.c
@@ -41,6 +41,11 @@
 	pair_t pairs[PAIRS_MAX];
 };
 
+static bool is_stopping(relay_t *relay)
+{
+	return __atomic_load_n(&relay->stopping, __ATOMIC_RELAXED);
+}
+
 static relay_mode_t mode_of(relay_t *relay)
 {
 	return __atomic_load_n(&relay->mode, __ATOMIC_RELAXED);
@@ -100,7 +105,7 @@
 		{ .fd = pair->far, .events = POLLIN },
 	};
 
-	if (mode_of(relay) == RELAY_RESET || relay->stopping)
+	if (mode_of(relay) == RELAY_RESET || is_stopping(relay))
 		return false;
 	if (mode_of(relay) == RELAY_SILENT) {
 		usleep(LOOK_EVERY_MS * 1000);
@@ -140,7 +145,7 @@
 	for (i = 0; !pair && i < PAIRS_MAX; i++)
 		if (!relay->pairs[i].used || relay->pairs[i].ended)
 			pair = &relay->pairs[i];
-	if (!pair || relay->stopping || mode_of(relay) == RELAY_RESET) {
+	if (!pair || is_stopping(relay) || mode_of(relay) == RELAY_RESET) {
 		close_side(fd, true);
 		pthread_mutex_unlock(&relay->lock);
 		return;
@@ -193,7 +198,7 @@
 
 	if (!relay)
 		return;
-	relay->stopping = true;
+	__atomic_store_n(&relay->stopping, true, __ATOMIC_RELAXED);
 	shutdown(relay->listener, SHUT_RDWR);
 	pthread_join(relay->thread, NULL);
 	close(relay->listener);
