--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -6,6 +6,7 @@
 
 #include <apr_hash.h>
 #include <apr_pools.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -172,7 +173,8 @@
 
 	if (out && place == fleet->out_count && place < MC_FLEET_OUT_MAX &&
 	    strlen(data_center) < MC_FLEET_NAME_SIZE) {
-		strcpy(fleet->out[place], data_center);
+		snprintf(fleet->out[place], MC_FLEET_NAME_SIZE, "%s",
+			 data_center);
 		fleet->out_count++;
 		fleet->changed = true;
 	} else if (!out && place < fleet->out_count) {
--- a/src/host/host.c
+++ b/src/host/host.c
@@ -196,7 +196,7 @@
 			return;
 		if (caught == SIGHUP && params->ops->reload)
 			params->ops->reload(params->role);
-		else if (!caught)
+		else if (!caught && params->ops->check)
 			params->ops->check(params->role);
 	}
 }
--- a/src/tier/head.c
+++ b/src/tier/head.c
@@ -44,15 +44,6 @@
 	return false;
 }
 
-/* Appends to the text; all sizes were added up before. */
-static char *put(char *at, const char *text)
-{
-	size_t size = strlen(text);
-
-	memcpy(at, text, size);
-	return at + size;
-}
-
 static bool passes(const tier_t *tier, const mc_h1_message_t *message,
 		   const char *name)
 {
@@ -88,19 +79,19 @@
 	if (!at)
 		return mc_fail(MC_ERR_NO_MEMORY, "no memory for a head");
 	request->head = at;
-	at = put(at, message->method);
+	at = stpcpy(at, message->method);
 	*at++ = ' ';
-	at = put(at, message->target);
-	at = put(at, " HTTP/1.1\r\n");
+	at = stpcpy(at, message->target);
+	at = stpcpy(at, " HTTP/1.1\r\n");
 	for (i = 0; i < message->header_count; i++) {
 		const mc_h1_header_t *header = &message->headers[i];
 
 		if (!passes(request->tier, message, header->name))
 			continue;
-		at = put(at, header->name);
-		at = put(at, ": ");
-		at = put(at, header->value);
-		at = put(at, "\r\n");
+		at = stpcpy(at, header->name);
+		at = stpcpy(at, ": ");
+		at = stpcpy(at, header->value);
+		at = stpcpy(at, "\r\n");
 	}
 	if (has_body(message))
 		at += sprintf(at, "Content-Length: %zu\r\n",
--- a/src/tier/send.c
+++ b/src/tier/send.c
@@ -50,7 +50,8 @@
 
 	memcpy(head, request->head, request->head_size);
 	memcpy(head + request->head_size, lines, size);
-	memcpy(head + request->head_size + size, "\r\n", 2);
+	head[request->head_size + size] = '\r';
+	head[request->head_size + size + 1] = '\n';
 	return mc_h1_send(tier->h1, link->connection, head, sizeof(head),
 			  request->message.body, request->message.body_size,
 			  !strcmp(request->message.method, "HEAD"));
--- a/tests/system/objects.c
+++ b/tests/system/objects.c
@@ -146,7 +146,7 @@
 		    strcmp(object->name, after) > 0)
 			found[count++] = object;
 	}
-	qsort(found, count, sizeof(*found), by_name);
+	qsort(found, count, sizeof(found) / OBJECTS_MAX, by_name);
 	for (i = 0; i < count && i < PAGE; i++)
 		json_array_append_new(items, object_json(found[i]));
 	return json_pack("{s:o, s:b, s:I}", "items", items, "hasMore",
