replica: a target of another data centre costs most of a request's own time

Cause: bytes between data centres were the largest price that is not fixed; a target elsewhere was taken for a small difference of load or slowness. Change: 0.8 of the time of a request, 0.3 before.

--- a/src/replica/pick.c
+++ b/src/replica/pick.c
@@ -6,7 +6,7 @@
 #include "mc/replica.h"
 
 /* Costs, in units of the time that a request takes at an idle target. */
-static const double cost_remote = 0.3;
+static const double cost_remote = 0.8;
 static const double cost_tie = 0.1;
 static const double cost_leaving = 100;
 static const double cost_silent = 200;
