tier: only silence says that a target is out of reach

Change: a connection that hangs or an answer that stays out is a sign, a refusal or a reset is none; the test freezes searchers for it (a backlog that is full and answers that stay out), so that connections hang.

--- a/src/tier/pool.c
+++ b/src/tier/pool.c
@@ -101,7 +101,6 @@
 		target->heard = mc_shard_now(tier->shard);
 		mc_health_reached(&target->health);
 	} else {
-		target_missed(tier, target);
 		mc_health_failed(&target->health, MC_REPLICA_UNREACHABLE,
 				 mc_shard_now(tier->shard));
 	}
@@ -115,9 +114,12 @@
 	link_t *link = arg;
 	tier_t *tier = link->tier;
 	try_t *sent = mc_table_get(tier->tries, link->sent);
+	target_t *target = mc_table_get(tier->targets, link->target);
 
 	(void)shard;
 	link->sent = MC_HANDLE_NONE;
+	if (target)
+		target_missed(tier, target);
 	note_probe(link, false);
 	pool_drop(tier, link);
 	if (sent)
@@ -283,13 +285,17 @@
 {
 	link_t *link = ctx;
 	tier_t *tier = link->tier;
-	mc_handle_t target = link->target;
+	mc_handle_t target_handle = link->target;
+	target_t *target = mc_table_get(tier->targets, target_handle);
 	try_t *sent = mc_table_get(tier->tries, link->sent);
 
 	(void)connection;
+	/* Who refuses a connection can be reached, whatever is wrong there. */
+	if (!link->open && target)
+		target->heard = mc_shard_now(tier->shard);
 	note_probe(link, false);
 	link_free(tier, link);
 	if (sent)
 		send_broken(tier, sent, sent_bytes);
-	wake_service(tier, target);
+	wake_service(tier, target_handle);
 }
--- a/src/tier/reach.c
+++ b/src/tier/reach.c
@@ -1,9 +1,10 @@
 /*
- * A service counts as reached unless one of its targets can't be reached or has
- * been silent for longer than a pause of its own would take, and no other one
- * has answered since. Whether targets are back is found out by connecting to
- * them, so that no caller's request finds out, and an instance that gets no
- * requests learns that it is no longer cut off.
+ * A service counts as reached unless one of its targets takes no connections or
+ * has been silent for longer than a pause of its own would take, and no other
+ * one has been heard since. A refused connection is heard: it comes from there.
+ * Whether targets are back is found out by connecting to them, so that no
+ * caller's request finds out, and an instance that gets no requests learns that
+ * it is no longer cut off.
  */
 #include "reach.h"
 
@@ -178,7 +179,7 @@
 
 	if (!service || !target->listed || target->replaced || target->out)
 		return false;
-	return (target->health.out_until && target->health.unreachable) ||
+	return (target->health.out_until && target->missed > target->heard) ||
 	       !reach_service(tier, service) ||
 	       is_doubted(tier, target, mc_shard_now(tier->shard));
 }
--- a/src/tier/send.c
+++ b/src/tier/send.c
@@ -148,8 +148,6 @@
 	mc_ms_t now = mc_shard_now(tier->shard);
 
 	mc_count(mc_shard_counters(tier->shard), MC_COUNTER_TARGET_FAILURES, 1);
-	if (fault == MC_REPLICA_UNREACHABLE || fault == MC_REPLICA_NO_ANSWER)
-		target_missed(tier, target);
 	if (!mc_health_failed(&target->health, fault, now))
 		return;
 	reach_probe_soon(tier);
--- a/src/tier/tier_private.h
+++ b/src/tier/tier_private.h
@@ -90,8 +90,8 @@
 	mc_health_t health;
 	/* When it last answered anything or took a connection, ms. */
 	mc_ms_t heard;
-	/* Since when it can't be reached or does not answer; before @heard when
-	 * that is over. */
+	/* Since when it says nothing at all; before @heard when that is over.
+	 */
 	mc_ms_t missed;
 	/* When a connection last was opened only to see whether that works. */
 	mc_ms_t probed;
@@ -281,7 +281,7 @@
 /** pool_probe() - connect without a request, to see whether that works */
 void pool_probe(tier_t *tier, target_t *target);
 
-/** target_missed() - a target could not be reached or did not answer */
+/** target_missed() - a target took no connection or did not answer */
 void target_missed(tier_t *tier, target_t *target);
 
 /** pool_drop() - close a connection, with what it carries */
--- a/tests/system/raw_http.h
+++ b/tests/system/raw_http.h
@@ -67,6 +67,13 @@
 /** raw_server_refuse() - listen no more, or anew at the same port */
 void raw_server_refuse(raw_server_t *server, bool refuse);
 
+/**
+ * raw_server_freeze() - be silent, as behind a network that drops all
+ *
+ * Open connections get no answers and new ones hang until it ends.
+ */
+void raw_server_freeze(raw_server_t *server, bool freeze);
+
 /** raw_server_connections() - connections that were taken so far */
 uint32_t raw_server_connections(raw_server_t *server);
 
--- a/tests/system/searchers.c
+++ b/tests/system/searchers.c
@@ -340,6 +340,11 @@
 		raw_server_cut(searcher->server);
 }
 
+void searcher_freeze(searcher_t *searcher, bool freeze)
+{
+	raw_server_freeze(searcher->server, freeze);
+}
+
 void searcher_cut(searcher_t *searcher)
 {
 	raw_server_cut(searcher->server);
--- a/tests/system/searchers.h
+++ b/tests/system/searchers.h
@@ -92,6 +92,9 @@
 /** searcher_down() - refuse connections and cut those that are open */
 void searcher_down(searcher_t *searcher, bool down);
 
+/** searcher_freeze() - as raw_server_freeze() */
+void searcher_freeze(searcher_t *searcher, bool freeze);
+
 /** searcher_cut() - close its connections */
 void searcher_cut(searcher_t *searcher);
 
