tier: a service is reached while one of its targets is; misses fade

Cause: with 60 instances each hears little of a target. Change: a miss counts for 1.5 s unless it is found anew; a service is reached while one of its targets is not missed; only services with a missed target are looked at, their other targets once.

--- a/src/tier/pool.c
+++ b/src/tier/pool.c
@@ -9,6 +9,8 @@
 #include <string.h>
 #include <strings.h>
 
+#include "reach.h"
+
 enum {
 	/* A connection that is not made by then is given up, ms. */
 	CONNECT_MS = 400,
@@ -84,8 +86,10 @@
 
 void target_missed(tier_t *tier, target_t *target)
 {
+	target->missed_last = mc_shard_now(tier->shard);
 	if (target->missed <= target->heard)
-		target->missed = mc_shard_now(tier->shard);
+		target->missed = target->missed_last;
+	reach_probe_soon(tier);
 }
 
 /* What a connection without a request has shown of its target. */
--- a/src/tier/reach.c
+++ b/src/tier/reach.c
@@ -1,10 +1,10 @@
 /*
- * A service counts as reached unless one of its targets takes no connections or
- * has been silent for longer than a pause of its own would take, and no other
- * one has been heard since. A refused connection is heard: it comes from there.
- * Whether targets are back is found out by connecting to them, so that no
- * caller's request finds out, and an instance that gets no requests learns that
- * it is no longer cut off.
+ * A target is missed when it takes no connections or has been silent for longer
+ * than a pause of its own would take, until it is heard; a refused connection
+ * is heard, as it comes from there. A service is reached while some target of
+ * it is not missed. Whether targets are back is found out by connecting to
+ * them, so that no caller's request finds out, and an instance that gets no
+ * requests learns that it is no longer cut off.
  */
 #include "reach.h"
 
@@ -13,10 +13,8 @@
 	BELIEF_MS = 100,
 	/* Targets that are out are looked at this often, ms. */
 	PROBE_EVERY_MS = 250,
-	/* After a refusal for want of reach, for so long... */
-	DOUBT_MS = 1000,
-	/* ... all targets are looked at of which nothing was heard lately. */
-	HEARD_LIFE_MS = 500,
+	/* A miss counts for so long, unless it is found anew, ms. */
+	MISS_LIFE_MS = 1500,
 	/* How many requests were refused for want of reach halves in this. */
 	RECENT_HALF_LIFE_MS = 300,
 	/* Fewer refusals than that say nothing of the instance. */
@@ -39,32 +37,46 @@
 {
 	if (is_silent(target, now))
 		return TAILQ_FIRST(&target->tries)->sent_at;
-	return target->missed > target->heard ? target->missed : MC_MS_NEVER;
+	if (target->missed <= target->heard ||
+	    now - target->missed_last > MISS_LIFE_MS)
+		return MC_MS_NEVER;
+	return target->missed;
 }
 
-bool reach_service(const tier_t *tier, const service_t *service)
+/* When the first of a service's targets was missed; MC_MS_NEVER if none is. */
+static mc_ms_t first_missed(const tier_t *tier, const service_t *service,
+			    uint32_t *others)
 {
-	mc_ms_t now = mc_shard_now(tier->shard);
-	mc_ms_t missed = MC_MS_NEVER, heard = -1, since;
-	const target_t *target;
-	uint32_t usable = 0, i;
+	mc_ms_t now = mc_shard_now(tier->shard), first = MC_MS_NEVER, since;
+	uint32_t i;
 
+	*others = 0;
 	for (i = 0; i < service->target_count; i++) {
-		target = mc_table_get(tier->targets, service->targets[i]);
+		const target_t *target =
+			mc_table_get(tier->targets, service->targets[i]);
+
 		if (!target || target->out || target->replaced)
 			continue;
-		usable++;
 		since = missed_since(target, now);
-		if (since < missed)
-			missed = since;
-		if (since == MC_MS_NEVER && target->heard > heard)
-			heard = target->heard;
+		if (since == MC_MS_NEVER)
+			(*others)++;
+		else if (since < first)
+			first = since;
 	}
-	return usable && (missed == MC_MS_NEVER || heard >= missed);
+	return first;
+}
+
+bool reach_service(tier_t *tier, const service_t *service)
+{
+	uint32_t others;
+
+	if (first_missed(tier, service, &others) != MC_MS_NEVER)
+		reach_probe_soon(tier);
+	return others > 0;
 }
 
 /* Whether enough of a route's services are reached for an answer. */
-static bool route_reached(const tier_t *tier, const mc_map_t *map,
+static bool route_reached(tier_t *tier, const mc_map_t *map,
 			  const mc_map_route_t *route)
 {
 	bool all = route->shape == MC_MAP_ALL;
@@ -100,18 +112,15 @@
 
 	let_fade(tier);
 	tier->recent++;
-	if (!enough) {
+	if (!enough)
 		tier->recent_lacking++;
-		tier->doubts_until = mc_shard_now(tier->shard) + DOUBT_MS;
-		reach_probe_soon(tier);
-	}
 	if (request->book)
 		request->book->lacks = !enough;
 	return enough;
 }
 
 /* Whether a route that was refused for want of reach still lacks it. */
-static bool still_lacks(const tier_t *tier)
+static bool still_lacks(tier_t *tier)
 {
 	const mc_map_t *map = tier->world ? tier->world->map : NULL;
 	uint32_t i;
@@ -164,30 +173,40 @@
 	return tier->cut_off;
 }
 
-/* Nothing was heard of a target lately, while the instance may be cut off. */
-static bool is_doubted(const tier_t *tier, const target_t *target, mc_ms_t now)
+/*
+ * Whether a new connection would tell something of @target: when it is missed,
+ * and once when another target of its service is, so that it is known whether
+ * that one alone is.
+ */
+static bool is_probe_due(const target_t *target, mc_ms_t service_missed,
+			 mc_ms_t now)
 {
-	return (tier->cut_off || now < tier->doubts_until) &&
-	       now - target->heard > HEARD_LIFE_MS;
+	if (now - target->probed < PROBE_EVERY_MS || target->in_flight ||
+	    target->health.out_until > now)
+		return false;
+	if (missed_since(target, now) != MC_MS_NEVER)
+		return true;
+	return target->heard < service_missed &&
+	       target->probed < service_missed;
 }
 
-/* Whether a new connection would tell something of @target. */
-static bool is_probed(const tier_t *tier, const target_t *target)
+static bool probe_service(tier_t *tier, const service_t *service)
 {
-	const service_t *service =
-		mc_table_get(tier->services, target->service);
+	mc_ms_t now = mc_shard_now(tier->shard);
+	uint32_t others, i;
+	mc_ms_t missed = first_missed(tier, service, &others);
 
-	if (!service || !target->listed || target->replaced || target->out)
+	if (missed == MC_MS_NEVER)
 		return false;
-	return (target->health.out_until && target->missed > target->heard) ||
-	       !reach_service(tier, service) ||
-	       is_doubted(tier, target, mc_shard_now(tier->shard));
-}
+	for (i = 0; i < service->target_count; i++) {
+		target_t *target =
+			mc_table_get(tier->targets, service->targets[i]);
 
-static bool is_probe_due(const target_t *target, mc_ms_t now)
-{
-	return now - target->probed >= PROBE_EVERY_MS && !target->in_flight &&
-	       target->health.out_until <= now;
+		if (target && !target->out && !target->replaced &&
+		    is_probe_due(target, missed, now))
+			pool_probe(tier, target);
+	}
+	return true;
 }
 
 static void probe(mc_shard_t *shard, void *arg)
@@ -195,17 +214,13 @@
 	tier_t *tier = arg;
 	uint32_t cursor = 0;
 	mc_handle_t handle;
-	target_t *target;
-	bool more = tier->cut_off || mc_shard_now(shard) < tier->doubts_until;
+	const service_t *service;
+	bool more = tier->cut_off;
 
+	(void)shard;
 	tier->probe_timer = MC_HANDLE_NONE;
-	while ((target = mc_table_next(tier->targets, &cursor, &handle))) {
-		if (!is_probed(tier, target))
-			continue;
-		more = true;
-		if (is_probe_due(target, mc_shard_now(shard)))
-			pool_probe(tier, target);
-	}
+	while ((service = mc_table_next(tier->services, &cursor, &handle)))
+		more = probe_service(tier, service) || more;
 	if (more)
 		reach_probe_soon(tier);
 	reach_cut_off(tier);
--- a/src/tier/reach.h
+++ b/src/tier/reach.h
@@ -8,7 +8,7 @@
 #include "tier_private.h"
 
 /** reach_service() - whether some target of it can be relied on now */
-bool reach_service(const tier_t *tier, const service_t *service);
+bool reach_service(tier_t *tier, const service_t *service);
 
 /**
  * reach_enough() - whether enough of a request's services are reached
@@ -24,7 +24,7 @@
  */
 bool reach_cut_off(tier_t *tier);
 
-/** reach_probe_soon() - a target is out: find out when it is back */
+/** reach_probe_soon() - a target is missed: find out when it is back */
 void reach_probe_soon(tier_t *tier);
 
 #endif
--- a/src/tier/send.c
+++ b/src/tier/send.c
@@ -7,8 +7,6 @@
 
 #include <string.h>
 
-#include "reach.h"
-
 enum {
 	LINES_SIZE = 512,
 	STATUS_OK_FIRST = 200,
@@ -150,7 +148,6 @@
 	mc_count(mc_shard_counters(tier->shard), MC_COUNTER_TARGET_FAILURES, 1);
 	if (!mc_health_failed(&target->health, fault, now))
 		return;
-	reach_probe_soon(tier);
 	mc_log(tier->log, MC_LOG_WARNING, "tier",
 	       "target is out target=%s address=%s reason=%s id=%s "
 	       "faults=%u out_ms=%lld",
--- a/src/tier/tier_private.h
+++ b/src/tier/tier_private.h
@@ -93,6 +93,8 @@
 	/* Since when it says nothing at all; before @heard when that is over.
 	 */
 	mc_ms_t missed;
+	/* When that was last found, ms. */
+	mc_ms_t missed_last;
 	/* When a connection last was opened only to see whether that works. */
 	mc_ms_t probed;
 	uint32_t link_count;
@@ -235,7 +237,6 @@
 	double recent_lacking;
 	mc_ms_t recent_at;
 	mc_ms_t believed_until;
-	mc_ms_t doubts_until;
 	mc_handle_t probe_timer;
 	/* A point that moves evenly over [0, 1), for choices by weight. */
 	double spread;
