--- a/tests/system/raw_http.c
+++ b/tests/system/raw_http.c
@@ -304,8 +304,10 @@
 	for (i = 0; i < FILLERS; i++) {
 		server->fillers[i] =
 			socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
-		connect(server->fillers[i], (struct sockaddr *)&address,
-			sizeof(address));
+		if (connect(server->fillers[i], (struct sockaddr *)&address,
+			    sizeof(address)) &&
+		    errno != EINPROGRESS)
+			abort();
 	}
 }
 
