tier: the goal counts the time that a request had used before it arrived

Cause: an answer at the goal was timed from the request's first byte with a fixed 8 ms for its way. A caller counts from its first try: connecting costs it a round trip, and a repeated request had its first try before. Change: the time left that callers give is compared with the most that was seen on the route lately (retry/spent), a connection's first request has used a round trip at least, and the way back is the kernel's measured round trip. Test: unit retry_test: spent.

--- a/src/h1/callers.c
+++ b/src/h1/callers.c
@@ -6,6 +6,8 @@
 #include "h1_private.h"
 
 #include <errno.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -21,6 +23,7 @@
 	STATUS_TIMEOUT = 408,
 	STATUS_NO_CONTENT = 204,
 	STATUS_NOT_MODIFIED = 304,
+	US_PER_MS = 1000,
 };
 
 typedef enum {
@@ -41,6 +44,10 @@
 	bool keep;
 	bool consuming;
 	bool continued;
+	/* A request has come on it. */
+	bool used;
+	/* Measured with the first request, ms. */
+	mc_ms_t round_trip;
 	mc_ms_t first_byte;
 	mc_ms_t expires;
 	mc_handle_t timer;
@@ -140,11 +147,27 @@
 	}
 }
 
+static mc_ms_t measure_round_trip(const caller_t *caller)
+{
+	struct tcp_info info = { 0 };
+	socklen_t size = sizeof(info);
+
+	/* Sockets of other kinds have none. */
+	if (getsockopt(caller->stream.fd, IPPROTO_TCP, TCP_INFO, &info, &size))
+		return 0;
+	return (info.tcpi_rtt + US_PER_MS - 1) / US_PER_MS;
+}
+
 static void deliver(caller_t *caller)
 {
 	mc_h1_t *h1 = caller->h1;
-	const mc_h1_message_t message = h1_parse_message(&caller->parse);
+	mc_h1_message_t message = h1_parse_message(&caller->parse);
 
+	message.first = !caller->used;
+	if (!caller->used)
+		caller->round_trip = measure_round_trip(caller);
+	message.round_trip = caller->round_trip;
+	caller->used = true;
 	caller->keep = message.keep;
 	caller->state = CALLER_HANDLED;
 	h1->server->request(h1->server_ctx, caller->handle, &message,
--- a/src/h1/include/mc/h1.h
+++ b/src/h1/include/mc/h1.h
@@ -39,6 +39,9 @@
  * @body_size: bytes of @body
  * @keep: the connection can be used again after this message
  * @extra: further bytes arrived behind an answer
+ * @round_trip: of a request's connection as the kernel measured it, ms, rounded
+ *	up; 0 if unknown
+ * @first: of the requests on its connection
  */
 typedef struct mc_h1_message_t {
 	const char *method;
@@ -50,6 +53,8 @@
 	size_t body_size;
 	bool keep;
 	bool extra;
+	mc_ms_t round_trip;
+	bool first;
 } mc_h1_message_t;
 
 /** mc_h1_find() - value of the first header line @name, or NULL */
--- a/src/tier/tier_private.h
+++ b/src/tier/tier_private.h
@@ -17,6 +17,7 @@
 #include "mc/records.h"
 #include "mc/replica.h"
 #include "mc/retry.h"
+#include "mc/spent.h"
 #include "mc/tier.h"
 #include "metrics.h"
 
@@ -52,6 +53,7 @@
 	bool lacks;
 	/* By how much answers at the goal leave late, ms. */
 	mc_quantile_t late;
+	mc_spent_t spent;
 	metrics_row_t *metrics;
 } book_t;
 
--- a/src/tier/timing.c
+++ b/src/tier/timing.c
@@ -8,8 +8,11 @@
 #include "mc/hedge_time.h"
 
 enum {
-	/* Request and answer are on their way so long together, ms. */
-	GOAL_TRAVEL_MS = 8,
+	/* Request and answer are on their way so long together where the
+	 * connection does not tell, ms. */
+	TRAVEL_UNKNOWN_MS = 6,
+	/* Writing an answer takes so long, ms. */
+	GOAL_WRITE_MS = 2,
 	/* Share of the goal that may be given up to arrive within it, 1/n. */
 	GOAL_RESERVE_PART = 3,
 	TIME_LEFT_MAX_MS = 600000,
@@ -22,13 +25,28 @@
 static mc_ms_t reserve_of(const request_t *request)
 {
 	mc_ms_t most = request->route->goal / GOAL_RESERVE_PART;
-	mc_ms_t reserve = GOAL_TRAVEL_MS;
+	mc_ms_t travel = request->message.round_trip;
+	mc_ms_t reserve = GOAL_WRITE_MS + (travel ? travel : TRAVEL_UNKNOWN_MS);
 
 	if (request->book)
 		reserve += (mc_ms_t)request->book->late.value;
 	return reserve < most ? reserve : most;
 }
 
+/* What the request had used of its goal; 0 where that is out of reach. */
+static mc_ms_t spent_before(request_t *request, mc_ms_t first_byte)
+{
+	mc_ms_t spent = 0;
+
+	if (request->book)
+		spent = mc_spent_note(&request->book->spent,
+				      request->call.time_left, first_byte);
+	/* To connect took a round trip, whatever the caller counts. */
+	if (request->message.first && spent < request->message.round_trip)
+		spent = request->message.round_trip;
+	return spent + reserve_of(request) < request->route->goal ? spent : 0;
+}
+
 void timing_set(request_t *request, mc_ms_t first_byte)
 {
 	const mc_map_route_t *route = request->route;
@@ -40,7 +58,8 @@
 		left = route->timeout;
 	request->begun = first_byte;
 	request->end_at = first_byte + left;
-	request->goal_at = first_byte + route->goal - reserve_of(request);
+	request->goal_at = first_byte + route->goal - reserve_of(request) -
+			   spent_before(request, first_byte);
 }
 
 static mc_ms_t hedge_time(const request_t *request)
--- a/tests/unit/retry_test.c
+++ b/tests/unit/retry_test.c
@@ -9,6 +9,7 @@
 #include "mc/again.h"
 #include "mc/hedge_time.h"
 #include "mc/retry.h"
+#include "mc/spent.h"
 
 static void test_budget(void **state)
 {
@@ -172,6 +173,23 @@
 	assert_int_equal(mc_hedge_time(&usual, &high, 10), 12);
 }
 
+static void test_spent(void **state)
+{
+	mc_spent_t spent = { 0 };
+
+	(void)state;
+	/* Nothing is known of the first one; later ones are compared. */
+	assert_int_equal(mc_spent_note(&spent, 793, 1000), 0);
+	assert_int_equal(mc_spent_note(&spent, 800, 1100), 0);
+	assert_int_equal(mc_spent_note(&spent, 793, 1200), 7);
+	assert_int_equal(mc_spent_note(&spent, -1, 1300), 0);
+	/* Callers that give less from now on are known in a minute. */
+	assert_int_equal(mc_spent_note(&spent, 500, 31200), 300);
+	assert_int_equal(mc_spent_note(&spent, 500, 61300), 0);
+	/* What was long ago tells nothing. */
+	assert_int_equal(mc_spent_note(&spent, 400, 200000), 0);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -183,6 +201,7 @@
 		cmocka_unit_test(test_once_refusals),
 		cmocka_unit_test(test_again),
 		cmocka_unit_test(test_hedge_time),
+		cmocka_unit_test(test_spent),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
