tier: extra requests are counted in sliding windows

Cause: each instance had a bucket of two extras a service and 0.16 more per request. Change: retry/extras counts requests and extras in slots of a sliding window; the slack grows with an instance's first window, so that kills of many instances do not give it twice. A target's time begins when its connection is open. Tests: retry_test: extras, extras_slide (an oracle over every window).

--- /dev/null
+++ b/src/retry/extras.c
@@ -0,0 +1,65 @@
+/*
+ * Requests and extras are counted in slots. The newest slot is under way, so
+ * that all slots together cover a whole window whenever it is looked at.
+ * Requests are counted without the oldest slot, as it may be out of the window.
+ */
+#include "mc/extras.h"
+
+#include <string.h>
+
+enum {
+	SLOTS = MC_EXTRAS_SLOTS + 1,
+};
+
+/* Moves on to the slot of @now; what is between is empty. */
+static void turn(mc_extras_t *extras, const mc_extras_limit_t *limit,
+		 mc_ms_t now)
+{
+	int64_t slot = (now - limit->began) * MC_EXTRAS_SLOTS / limit->window;
+
+	if (slot - extras->slot >= SLOTS) {
+		memset(extras->requests, 0, sizeof(extras->requests));
+		memset(extras->extras, 0, sizeof(extras->extras));
+		extras->slot = slot;
+	}
+	while (extras->slot < slot) {
+		extras->slot++;
+		extras->requests[extras->slot % SLOTS] = 0;
+		extras->extras[extras->slot % SLOTS] = 0;
+	}
+}
+
+void mc_extras_earn(mc_extras_t *extras, const mc_extras_limit_t *limit,
+		    mc_ms_t now)
+{
+	turn(extras, limit, now);
+	extras->requests[extras->slot % SLOTS]++;
+}
+
+bool mc_extras_spend(mc_extras_t *extras, const mc_extras_limit_t *limit,
+		     mc_ms_t now)
+{
+	uint64_t requests = 0, sent = 0;
+	double age, slack = limit->slack;
+	uint32_t i;
+
+	turn(extras, limit, now);
+	age = (double)(now - limit->began) / (double)limit->window;
+	if (age < 1)
+		slack *= age;
+	for (i = 0; i < SLOTS; i++) {
+		if (i != (extras->slot + 1) % SLOTS)
+			requests += extras->requests[i];
+		sent += extras->extras[i];
+	}
+	if ((double)(sent + 1) > limit->share * (double)requests + slack)
+		return false;
+	extras->extras[extras->slot % SLOTS]++;
+	return true;
+}
+
+void mc_extras_refund(mc_extras_t *extras)
+{
+	if (extras->extras[extras->slot % SLOTS])
+		extras->extras[extras->slot % SLOTS]--;
+}
--- a/src/tier/pool.c
+++ b/src/tier/pool.c
@@ -227,6 +227,7 @@
 
 	(void)connection;
 	link->open = true;
+	send_opened(link->tier, link);
 	mc_timer_cancel(link->tier->shard, link->timer);
 	if (!link->probes)
 		return;
--- a/src/tier/reload.c
+++ b/src/tier/reload.c
@@ -17,8 +17,7 @@
 /* Values for one data shard, which frees them. */
 typedef struct {
 	tier_process_t *process;
-	double extra_share;
-	uint32_t extra_slack;
+	mc_settings_t settings;
 } change_t;
 
 static int64_t changed_at(const tier_process_t *process)
@@ -54,7 +53,7 @@
 		mc_host_state(change->process->host, mc_shard_index(shard));
 
 	if (tier)
-		world_extras(tier, change->extra_share, change->extra_slack);
+		world_extras(tier, &change->settings);
 	free(change);
 }
 
@@ -69,8 +68,7 @@
 			continue;
 		*change = (change_t){
 			.process = process,
-			.extra_share = settings->extra_share,
-			.extra_slack = settings->extra_slack,
+			.settings = *settings,
 		};
 		if (mc_shard_post(mc_host_shard(process->host, i), apply,
 				  change))
--- a/src/tier/request.c
+++ b/src/tier/request.c
@@ -98,7 +98,8 @@
 	tier_t *tier = part->request->tier;
 	service_t *service = mc_table_get(tier->services, part->service);
 
-	if (service && mc_budget_spend(&service->extras))
+	if (service && mc_extras_spend(&service->extras, &tier->extras,
+				       mc_shard_now(tier->shard)))
 		return true;
 	mc_count(mc_shard_counters(tier->shard), MC_COUNTER_RETRIES_DENIED, 1);
 	return false;
--- a/src/tier/send.c
+++ b/src/tier/send.c
@@ -123,7 +123,8 @@
 	}
 	note_sent(tier, part, target, extra);
 	if (!part->paid_first)
-		mc_budget_earn(&service->extras, 1);
+		mc_extras_earn(&service->extras, &tier->extras,
+			       mc_shard_now(tier->shard));
 	part->paid_first = true;
 	if (extra)
 		mc_log(tier->log, MC_LOG_DEBUG, "tier",
@@ -140,6 +141,26 @@
 	return true;
 }
 
+/* The target's time, and that until a hedge, begin when it can know of it. */
+void send_opened(tier_t *tier, const link_t *link)
+{
+	try_t *sent = mc_table_get(tier->tries, link->sent);
+	request_t *request =
+		sent ? mc_table_get(tier->requests, sent->request) : NULL;
+	target_t *target;
+
+	if (!request)
+		return;
+	sent->sent_at = mc_shard_now(tier->shard);
+	request->parts[sent->part].sent_at = sent->sent_at;
+	target = mc_table_get(tier->targets, sent->target);
+	if (!target)
+		return;
+	/* The oldest goes first. */
+	TAILQ_REMOVE(&target->tries, sent, of_target);
+	TAILQ_INSERT_TAIL(&target->tries, sent, of_target);
+}
+
 static void note_fault(tier_t *tier, target_t *target, const request_t *request,
 		       mc_replica_fault_t fault, const char *what)
 {
--- a/src/tier/tier.c
+++ b/src/tier/tier.c
@@ -93,8 +93,8 @@
 	tier->shard = shard;
 	tier->log = process->params.log;
 	tier->dialect = process->params.dialect;
-	tier->extra_share = process->settings.extra_share;
-	tier->extra_slack = process->settings.extra_slack;
+	tier->extras.began = mc_shard_now(shard);
+	world_extras(tier, &process->settings);
 	tier->spread = mc_random_unit(mc_shard_random(shard));
 	err = create_parts(tier);
 	if (!err)
--- a/src/tier/tier_private.h
+++ b/src/tier/tier_private.h
@@ -10,6 +10,7 @@
 #include <sys/queue.h>
 
 #include "mc/again.h"
+#include "mc/extras.h"
 #include "mc/fleet.h"
 #include "mc/follow.h"
 #include "mc/host.h"
@@ -70,7 +71,7 @@
 	/* Requests a second that this shard may send to a cold target; 0 when
 	 * a cold target bears what a warm one does. */
 	double cold_rate;
-	mc_budget_t extras;
+	mc_extras_t extras;
 	uint32_t waiting_count;
 	struct waiting_t waiting[TIER_RANKS];
 	mc_handle_t timer;
@@ -229,8 +230,9 @@
 	/* Services by row of the world's map. */
 	mc_handle_t *rows;
 	uint32_t instances;
-	double extra_share;
-	uint32_t extra_slack;
+	/* Extra requests: of all instances together, and this shard's part. */
+	mc_extras_limit_t extras_all;
+	mc_extras_limit_t extras;
 	bool leaving;
 	/* Too much is refused for want of reach; until when that belief is
 	 * used; recent requests, and those of them that lacked reach. */
@@ -259,7 +261,7 @@
 void world_adopt(tier_t *tier, const mc_world_t *world);
 
 /** world_extras() - the budget of extra requests has changed */
-void world_extras(tier_t *tier, double share, uint32_t slack);
+void world_extras(tier_t *tier, const mc_settings_t *settings);
 
 /** world_book() - the book of a route; NULL without memory */
 book_t *world_book(tier_t *tier, const mc_map_route_t *route);
@@ -309,6 +311,9 @@
 /** send_cancel() - give up what was sent; the target may go on with it */
 void send_cancel(tier_t *tier, try_t *sent);
 
+/** send_opened() - what waited for its connection leaves now */
+void send_opened(tier_t *tier, const link_t *link);
+
 /** send_answered() - a target answered; false when the answer is another's */
 bool send_answered(tier_t *tier, link_t *link, try_t *sent,
 		   const mc_h1_message_t *message);
--- a/src/tier/timing.c
+++ b/src/tier/timing.c
@@ -85,13 +85,14 @@
 	part->hedged = true;
 	if (!service)
 		return;
-	if (!mc_budget_spend(&service->extras)) {
+	if (!mc_extras_spend(&service->extras, &tier->extras,
+			     mc_shard_now(tier->shard))) {
 		mc_count(mc_shard_counters(tier->shard),
 			 MC_COUNTER_RETRIES_DENIED, 1);
 		return;
 	}
 	if (!send_part(tier, part, true)) {
-		mc_budget_refund(&service->extras);
+		mc_extras_refund(&service->extras);
 		return;
 	}
 	part->request->hedges++;
--- a/src/tier/world.c
+++ b/src/tier/world.c
@@ -35,16 +35,6 @@
 	return instances * tier->process->settings.shards;
 }
 
-static void init_extras(const tier_t *tier, service_t *service)
-{
-	uint32_t burst =
-		tier->extra_slack * EXTRAS_USED / PERCENT / sharers(tier);
-
-	mc_budget_init(&service->extras,
-		       (uint32_t)(tier->extra_share * EXTRAS_USED),
-		       burst ? burst : 1);
-}
-
 static service_t *service_of(tier_t *tier, const char *name)
 {
 	service_t *service =
@@ -62,7 +52,6 @@
 	service->handle = handle;
 	snprintf(service->name, sizeof(service->name), "%s", name);
 	service->links_max = LINKS_DEFAULT;
-	init_extras(tier, service);
 	for (i = 0; i < TIER_RANKS; i++)
 		TAILQ_INIT(&service->waiting[i]);
 	apr_hash_set(tier->service_names, service->name, APR_HASH_KEY_STRING,
@@ -256,23 +245,23 @@
 	mc_h1_limit(tier->h1, &set);
 }
 
-static void init_all_extras(tier_t *tier)
+static void share_extras(tier_t *tier)
 {
-	uint32_t cursor = 0;
-	mc_handle_t handle;
-	service_t *service;
+	const mc_extras_limit_t *all = &tier->extras_all;
 
-	while ((service = mc_table_next(tier->services, &cursor, &handle)))
-		init_extras(tier, service);
+	tier->extras.window = all->window;
+	tier->extras.share = all->share * EXTRAS_USED / PERCENT;
+	tier->extras.slack = all->slack * EXTRAS_USED / PERCENT / sharers(tier);
 }
 
-void world_extras(tier_t *tier, double share, uint32_t slack)
+void world_extras(tier_t *tier, const mc_settings_t *settings)
 {
-	if (share == tier->extra_share && slack == tier->extra_slack)
-		return;
-	tier->extra_share = share;
-	tier->extra_slack = slack;
-	init_all_extras(tier);
+	tier->extras_all = (mc_extras_limit_t){
+		.window = settings->extra_window,
+		.share = settings->extra_share,
+		.slack = settings->extra_slack,
+	};
+	share_extras(tier);
 }
 
 static void take_instances(tier_t *tier, uint32_t instances)
@@ -283,7 +272,7 @@
 	       "instances that share targets count=%u former=%u", instances,
 	       tier->instances);
 	tier->instances = instances;
-	init_all_extras(tier);
+	share_extras(tier);
 }
 
 void world_adopt(tier_t *tier, const mc_world_t *world)
--- a/tests/unit/retry_test.c
+++ b/tests/unit/retry_test.c
@@ -7,6 +7,7 @@
 #include <cmocka.h>
 
 #include "mc/again.h"
+#include "mc/extras.h"
 #include "mc/hedge_time.h"
 #include "mc/retry.h"
 #include "mc/spent.h"
@@ -190,6 +191,80 @@
 	assert_int_equal(mc_spent_note(&spent, 400, 200000), 0);
 }
 
+static uint32_t spend(mc_extras_t *extras, const mc_extras_limit_t *limit,
+		      mc_ms_t now)
+{
+	uint32_t count = 0;
+
+	while (count < 1000 && mc_extras_spend(extras, limit, now))
+		count++;
+	return count;
+}
+
+static void test_extras(void **state)
+{
+	const mc_extras_limit_t limit = {
+		.began = 5000, .window = 10000, .share = 0.2, .slack = 3.5
+	};
+	mc_extras_t extras = { 0 };
+	uint32_t i;
+
+	(void)state;
+	/* Another holder may have used the slack just before. */
+	assert_int_equal(spend(&extras, &limit, 5000), 0);
+	assert_int_equal(spend(&extras, &limit, 8000), 1);
+	assert_int_equal(spend(&extras, &limit, 15000), 2);
+	for (i = 0; i < 10; i++)
+		mc_extras_earn(&extras, &limit, 15100);
+	assert_int_equal(spend(&extras, &limit, 15100), 2);
+	mc_extras_refund(&extras);
+	assert_int_equal(spend(&extras, &limit, 15200), 1);
+	/* What left at 8000 is out of the window, the others are not yet. */
+	assert_int_equal(spend(&extras, &limit, 19500), 1);
+	assert_int_equal(spend(&extras, &limit, 24000), 0);
+	/* Slack comes back after a window, what requests earned is gone. */
+	assert_int_equal(spend(&extras, &limit, 27000), 2);
+	assert_int_equal(spend(&extras, &limit, 100000), 3);
+}
+
+/* No window has more extras than its part, whatever the order of events. */
+static void test_extras_slide(void **state)
+{
+	const mc_extras_limit_t limit = {
+		.began = 1, .window = 1000, .share = 0.3, .slack = 2
+	};
+	mc_extras_t extras = { 0 };
+	static uint32_t sent[20001], earned[20001];
+	mc_random_t random;
+	mc_ms_t now, at;
+
+	(void)state;
+	mc_random_seed(&random, 7);
+	for (now = 1; now <= 20000; now++) {
+		uint32_t burst = now / 2000 % 2 ? 3 : 40;
+
+		if (!mc_random_below(&random, burst)) {
+			mc_extras_earn(&extras, &limit, now);
+			earned[now]++;
+		}
+		if (!mc_random_below(&random, 5) &&
+		    mc_extras_spend(&extras, &limit, now))
+			sent[now]++;
+	}
+	for (now = 1000; now <= 20000; now++) {
+		uint32_t extra = 0, requests = 0;
+
+		for (at = now - 999; at <= now; at++) {
+			extra += sent[at];
+			requests += earned[at];
+		}
+		/* Requests of the window before count where they are more. */
+		for (at = now - 1999; at <= now - 1000; at++)
+			requests += at > 0 ? earned[at] : 0;
+		assert_true(extra <= 0.3 * requests + 2);
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -202,6 +277,8 @@
 		cmocka_unit_test(test_again),
 		cmocka_unit_test(test_hedge_time),
 		cmocka_unit_test(test_spent),
+		cmocka_unit_test(test_extras),
+		cmocka_unit_test(test_extras_slide),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
