--- a/src/retry/extras.c
+++ b/src/retry/extras.c
@@ -11,6 +11,10 @@
 	SLOTS = MC_EXTRAS_SLOTS + 1,
 };
 
+/* Part of the slack that a holder has at once: that of one before it, killed in
+ * the same window, may be used up. */
+static const double slack_at_first = 0.25;
+
 /* Moves on to the slot of @now; what is between is empty. */
 static void turn(mc_extras_t *extras, const mc_extras_limit_t *limit,
 		 mc_ms_t now)
@@ -46,7 +50,7 @@
 	turn(extras, limit, now);
 	age = (double)(now - limit->began) / (double)limit->window;
 	if (age < 1)
-		slack *= age;
+		slack *= slack_at_first + (1 - slack_at_first) * age;
 	for (i = 0; i < SLOTS; i++) {
 		if (i != (extras->slot + 1) % SLOTS)
 			requests += extras->requests[i];
--- a/src/retry/include/mc/extras.h
+++ b/src/retry/include/mc/extras.h
@@ -48,8 +48,8 @@
  * @limit: the holder's part of the budget
  * @now: time, ms
  *
- * In its first window a holder has only the part of the slack that its age is
- * of the window: another one that had its place may have used it.
+ * A holder that has just begun has a quarter of the slack, which grows to the
+ * whole in its first window: another one that had its place may have used it.
  */
 bool mc_extras_spend(mc_extras_t *extras, const mc_extras_limit_t *limit,
 		     mc_ms_t now);
