route: a choice lets no latency fade, only what is sent does

Ruled out: the hash itself (same candidates, same choice); the fuzzer's oracle (a choice for a request should be the same until something is known anew). Change: a choice marks what it passes over, and mc_router_sent() lets that fade. Test: route_test: hash_chooses_again, seen to fail before the change.

--- a/src/route/choose.c
+++ b/src/route/choose.c
@@ -8,12 +8,6 @@
 /* Keeps the choice of the version apart from other uses of the hash. */
 static const uint64_t VERSION_SALT = UINT64_C(0x76657273696f6e);
 
-/*
- * Share of its latency that a candidate keeps each time another one is chosen.
- * A slow replica is so tried again, ever more rarely the slower it is.
- */
-static const double LATENCY_KEPT = 1.0 - 1.0 / 256;
-
 /*
  * A replica's rank; the lowest goes first. Bits in the order of their weight:
  * it failed lately, it has not the version that the request shall use, it is
@@ -139,12 +133,6 @@
 	};
 }
 
-static void fade(mc_target_record_t *record)
-{
-	if (record->latency > MC_ROUTE_LATENCY_MIN)
-		record->latency *= LATENCY_KEPT;
-}
-
 /* Fills router->candidates with the replicas of the best rank. */
 static uint32_t select_candidates(mc_router_t *router,
 				  const mc_route_query_t *query,
@@ -161,8 +149,8 @@
 					    targets[i], least);
 
 		/* What is passed over as slow is so tried again later. */
-		if (rank & RANK_SLOW && rank != RANK_NONE)
-			fade(&router->targets[targets[i]]);
+		router->targets[targets[i]].passed =
+			rank & RANK_SLOW && rank != RANK_NONE;
 		if (rank == RANK_NONE || rank > best)
 			continue;
 		if (rank < best)
@@ -174,7 +162,7 @@
 	return found;
 }
 
-/* Notes the choice, and lets the latencies of the other candidates fade. */
+/* Notes the choice, and the candidates that are passed over for it. */
 static mc_row_t take_candidate(mc_router_t *router, uint32_t count,
 			       uint32_t chosen)
 {
@@ -182,8 +170,8 @@
 	uint32_t i;
 
 	for (i = 0; i < count; i++)
-		if (i != chosen)
-			fade(&router->targets[router->candidates[i].target]);
+		router->targets[router->candidates[i].target].passed =
+			i != chosen;
 	router->targets[target].turn = ++router->turn;
 	return target;
 }
--- a/src/route/router.h
+++ b/src/route/router.h
@@ -26,6 +26,8 @@
  * @failed_until: until when it is avoided, ms
  * @busy_until: until when others go first, ms
  * @draining: it gets no new work
+ * @passed: the last choice of its shard passed it over, so that its latency
+ *	fades when that choice is sent
  * @version: place in its service's version move
  * @owner_count: number of its owners
  */
@@ -36,6 +38,7 @@
 	mc_ms_t failed_until;
 	mc_ms_t busy_until;
 	bool draining;
+	bool passed;
 	mc_version_class_t version;
 	uint32_t owner_count;
 } mc_target_record_t;
--- a/src/route/state.c
+++ b/src/route/state.c
@@ -6,6 +6,8 @@
 
 #include <string.h>
 
+/* Share of its latency that a replica keeps when another one is sent to. */
+static const double LATENCY_KEPT = 1.0 - 1.0 / 256;
 /* Weight of a new sample in a target's smoothed latency. */
 static const double LATENCY_WEIGHT = 0.2;
 
@@ -92,10 +94,30 @@
 	router->request++;
 }
 
+/* A slow replica is so tried again, ever more rarely the slower it is. */
+static void fade_passed(mc_router_t *router, mc_row_t chosen)
+{
+	const mc_target_t *row = &router->config->targets[chosen];
+	const mc_row_t *targets;
+	uint32_t count, i;
+
+	targets = mc_config_shard_targets(router->config, row->layout,
+					  row->shard, &count);
+	for (i = 0; i < count; i++) {
+		mc_target_record_t *record = &router->targets[targets[i]];
+
+		if (record->passed && record->latency > MC_ROUTE_LATENCY_MIN)
+			record->latency *= LATENCY_KEPT;
+		record->passed = false;
+	}
+}
+
 void mc_router_sent(mc_router_t *router, mc_route_choice_t choice)
 {
-	if (choice.target < router->config->target_count)
+	if (choice.target < router->config->target_count) {
 		router->targets[choice.target].in_flight++;
+		fade_passed(router, choice.target);
+	}
 	if (choice.gather < router->gather_count)
 		router->gathers[choice.gather].gather.in_flight++;
 }
--- a/tests/unit/route_test.c
+++ b/tests/unit/route_test.c
@@ -382,6 +382,33 @@
 	mc_config_unref(config);
 }
 
+/* A choice alone changes nothing: only what is sent lets others be tried. */
+static void test_hash_chooses_again(void **state)
+{
+	const mc_config_t *config = square_config("in");
+	mc_router_t *router = make_router(config, "hash", NULL);
+	mc_route_query_t query = { .shard = 1 };
+	mc_route_choice_t first, again;
+	uint32_t i, returned = 0;
+
+	(void)state;
+	for (i = 0; i < config->target_count; i++)
+		mc_router_done(router, (mc_route_choice_t){ .target = i },
+			       config->targets[i].data_center ? 8 : 100 + i);
+	for (i = 0; i < 4000; i++) {
+		query.request_hash = mc_hash_pair(i % 16, 3);
+		assert_int_equal(choose(router, &query, &first), MC_OK);
+		assert_int_equal(choose(router, &query, &again), MC_OK);
+		assert_int_equal(first.target, again.target);
+		mc_router_sent(router, first);
+		mc_router_done(router, first, 8);
+		returned += !config->targets[first.target].data_center;
+	}
+	assert_true(returned > 0);
+	mc_router_destroy(router);
+	mc_config_unref(config);
+}
+
 /* A replica at its limit lets others go first, for a short time. */
 static void test_busy_goes_last(void **state)
 {
@@ -470,6 +497,7 @@
 		cmocka_unit_test(test_round_robin_after_return),
 		cmocka_unit_test(test_hash_moves_only_what_it_must),
 		cmocka_unit_test(test_slow_local_goes_last),
+		cmocka_unit_test(test_hash_chooses_again),
 		cmocka_unit_test(test_busy_goes_last),
 		cmocka_unit_test(test_two_choices_by_latency),
 		cmocka_unit_test(test_two_choices_by_in_flight),
