tier: what led to being cut off is forgotten once that is over

Ruled out: the cause that was listed (a miss counts 1.5 s, a target that is out is looked at every 2.4 s): the logs of the three failures show all targets reached. Change: replica/belief decides, without clock or sockets, and forgets at the end of a belief; whoever believes to be cut off goes on probing. Test: replica_test: belief, seen to fail without the forgetting.

--- /dev/null
+++ b/src/replica/include/mc/belief.h
@@ -0,0 +1,40 @@
+/*
+ * Whether an instance is cut off from so many targets that callers do better at
+ * another one. Pure.
+ */
+#ifndef MC_BELIEF_H
+#define MC_BELIEF_H
+
+#include "mc/base.h"
+
+/**
+ * struct mc_belief_t - zeroed at the start
+ * @cut_off: it is
+ * @recent: requests, of which those count less that are longer ago
+ * @lacking: those of them that lacked reach
+ * @faded: when both were last halved, ms
+ */
+typedef struct mc_belief_t {
+	bool cut_off;
+	double recent;
+	double lacking;
+	mc_ms_t faded;
+} mc_belief_t;
+
+/** mc_belief_note() - a request came; @enough: what it needs is reached */
+void mc_belief_note(mc_belief_t *belief, bool enough, mc_ms_t now);
+
+/**
+ * mc_belief_update() - what is to be believed now
+ * @belief: so far; it is read by the caller where a change is logged
+ * @still_lacking: some of what was refused for want of reach still lacks it
+ * @now: time, ms
+ *
+ * What led to being cut off is forgotten once that is over: only requests that
+ * come after it can lead to it again.
+ *
+ * Return: true when @belief->cut_off has changed.
+ */
+bool mc_belief_update(mc_belief_t *belief, bool still_lacking, mc_ms_t now);
+
+#endif
--- a/src/tier/reach.c
+++ b/src/tier/reach.c
@@ -15,16 +15,8 @@
 	PROBE_EVERY_MS = 250,
 	/* A miss counts for so long, unless it is found anew, ms. */
 	MISS_LIFE_MS = 1500,
-	/* How many requests were refused for want of reach halves in this. */
-	RECENT_HALF_LIFE_MS = 300,
-	/* Fewer refusals than that say nothing of the instance. */
-	LACKING_MIN = 3,
 };
 
-/* Share of requests refused for want of reach from which on callers do better
- * elsewhere. */
-static const double lacking_share = 0.5;
-
 static bool is_silent(const target_t *target, mc_ms_t now)
 {
 	const try_t *oldest = TAILQ_FIRST(&target->tries);
@@ -94,26 +86,11 @@
 	       (!all || reached >= route->coverage_min * route->count);
 }
 
-/* What is recent halves with time. */
-static void let_fade(tier_t *tier)
-{
-	mc_ms_t now = mc_shard_now(tier->shard);
-
-	if (now - tier->recent_at < RECENT_HALF_LIFE_MS)
-		return;
-	tier->recent_at = now;
-	tier->recent /= 2;
-	tier->recent_lacking /= 2;
-}
-
 bool reach_enough(tier_t *tier, const request_t *request)
 {
 	bool enough = route_reached(tier, request->map, request->route);
 
-	let_fade(tier);
-	tier->recent++;
-	if (!enough)
-		tier->recent_lacking++;
+	mc_belief_note(&tier->belief, enough, mc_shard_now(tier->shard));
 	if (request->book)
 		request->book->lacks = !enough;
 	return enough;
@@ -136,41 +113,39 @@
 	return false;
 }
 
-static void note_belief(tier_t *tier, bool cut_off)
+/* The belief has changed: the process is told, and the log. */
+static void tell_belief(tier_t *tier, double recent, double lacking)
 {
 	uint64_t bit = UINT64_C(1) << mc_shard_index(tier->shard);
 
-	if (cut_off == tier->cut_off)
-		return;
-	tier->cut_off = cut_off;
-	if (cut_off)
+	if (tier->belief.cut_off)
 		__atomic_fetch_or(&tier->process->cut_off_shards, bit,
 				  __ATOMIC_RELAXED);
 	else
 		__atomic_fetch_and(&tier->process->cut_off_shards, ~bit,
 				   __ATOMIC_RELAXED);
-	mc_log(tier->log, cut_off ? MC_LOG_WARNING : MC_LOG_NOTICE, "tier",
-	       "%s recent_requests=%.0f lacking_reach=%.0f",
-	       cut_off ? "cut off from too many targets"
-		       : "no longer cut off from targets",
-	       tier->recent, tier->recent_lacking);
+	mc_log(tier->log, tier->belief.cut_off ? MC_LOG_WARNING : MC_LOG_NOTICE,
+	       "tier", "%s recent_requests=%.0f lacking_reach=%.0f",
+	       tier->belief.cut_off ? "cut off from too many targets"
+				    : "no longer cut off from targets",
+	       recent, lacking);
+	/* No request finds out that it is over: callers go elsewhere. */
+	if (tier->belief.cut_off)
+		reach_probe_soon(tier);
 }
 
 bool reach_cut_off(tier_t *tier)
 {
+	const mc_belief_t before = tier->belief;
 	mc_ms_t now = mc_shard_now(tier->shard);
 
 	if (now < tier->believed_until)
-		return tier->cut_off;
+		return before.cut_off;
 	tier->believed_until = now + BELIEF_MS;
-	let_fade(tier);
-	if (tier->cut_off)
-		note_belief(tier, still_lacks(tier));
-	else
-		note_belief(tier, tier->recent_lacking >= LACKING_MIN &&
-					  tier->recent_lacking >=
-						  tier->recent * lacking_share);
-	return tier->cut_off;
+	if (mc_belief_update(&tier->belief, before.cut_off && still_lacks(tier),
+			     now))
+		tell_belief(tier, before.recent, before.lacking);
+	return tier->belief.cut_off;
 }
 
 /*
@@ -215,7 +190,7 @@
 	uint32_t cursor = 0;
 	mc_handle_t handle;
 	const service_t *service;
-	bool more = tier->cut_off;
+	bool more = tier->belief.cut_off;
 
 	(void)shard;
 	tier->probe_timer = MC_HANDLE_NONE;
--- a/src/tier/tier_private.h
+++ b/src/tier/tier_private.h
@@ -10,6 +10,7 @@
 #include <sys/queue.h>
 
 #include "mc/again.h"
+#include "mc/belief.h"
 #include "mc/extras.h"
 #include "mc/fleet.h"
 #include "mc/follow.h"
@@ -234,12 +235,8 @@
 	mc_extras_limit_t extras_all;
 	mc_extras_limit_t extras;
 	bool leaving;
-	/* Too much is refused for want of reach; until when that belief is
-	 * used; recent requests, and those of them that lacked reach. */
-	bool cut_off;
-	double recent;
-	double recent_lacking;
-	mc_ms_t recent_at;
+	mc_belief_t belief;
+	/* Until when the belief is used without a look, ms. */
 	mc_ms_t believed_until;
 	mc_handle_t probe_timer;
 	/* A point that moves evenly over [0, 1), for choices by weight. */
--- a/tests/unit/replica_test.c
+++ b/tests/unit/replica_test.c
@@ -6,6 +6,7 @@
 #include <stddef.h>
 #include <cmocka.h>
 
+#include "mc/belief.h"
 #include "mc/replica.h"
 
 static const double usual = 20;
@@ -129,6 +130,30 @@
 	assert_int_equal(pick(both, 2, true), 1);
 }
 
+/* What led to being cut off does not lead to it again once it is over. */
+static void test_belief(void **state)
+{
+	mc_belief_t belief = { 0 };
+	uint32_t i;
+
+	(void)state;
+	for (i = 0; i < 6; i++)
+		mc_belief_note(&belief, false, 1000);
+	assert_true(mc_belief_update(&belief, false, 1010));
+	assert_true(belief.cut_off);
+	assert_false(mc_belief_update(&belief, true, 1110));
+	assert_true(mc_belief_update(&belief, false, 1210));
+	assert_false(belief.cut_off);
+	assert_false(mc_belief_update(&belief, false, 1220));
+	assert_false(belief.cut_off);
+	for (i = 0; i < 6; i++)
+		mc_belief_note(&belief, i % 3 != 0, 1300);
+	assert_false(mc_belief_update(&belief, false, 1310));
+	/* Refusals of long ago tell nothing. */
+	mc_belief_note(&belief, false, 9000);
+	assert_false(mc_belief_update(&belief, false, 9010));
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -138,6 +163,7 @@
 		cmocka_unit_test(test_slow),
 		cmocka_unit_test(test_pick),
 		cmocka_unit_test(test_careful),
+		cmocka_unit_test(test_belief),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
