follow: watches of 30 s but for the map's

Watches of targets, data centres and instances ended every 10 or 20 s though the map's short watch is what notices a silent store. Change: these three wait 30 s, the most that the store allows.

--- a/src/follow/follow.c
+++ b/src/follow/follow.c
@@ -37,9 +37,9 @@
 	mc_ms_t gather;
 } kinds[] = {
 	[MC_SOURCE_MAP] = { "map", 0, 100 },
-	[MC_SOURCE_TARGETS] = { "targets", 10000, 0 },
-	[MC_SOURCE_OUT] = { "out", 10000, 100 },
-	[MC_SOURCE_INSTANCES] = { "instances", 20000, 1000 },
+	[MC_SOURCE_TARGETS] = { "targets", 30000, 0 },
+	[MC_SOURCE_OUT] = { "out", 30000, 100 },
+	[MC_SOURCE_INSTANCES] = { "instances", 30000, 1000 },
 };
 
 static mc_ms_t watch_time(const kind_t *kind)
