news: instances of a data centre pass on what the store told one of them

Ruled out: longer watches alone (the map's short one is what notices a silent store); cheap reads (they may be seconds old); a member list of our own (who is heard needs no agreement: who hears nobody asks the store). Change: src/news. An instance hears the first one, by rank, of its data centre that hears the store itself; that one looks after the store every 0.5 s and says every 0.4 s that it is there and up to which revisions it knows. Whoever hears nothing for 1.3 s, a deaf teller, or of a gap reads on from its own revision. What is passed on are the store's own words, which the adapter decodes as ever.

--- a/src/follow/follow.c
+++ b/src/follow/follow.c
@@ -74,8 +74,8 @@
 			       (uint32_t)pause / 2);
 }
 
-static void set_timer(mc_follow_t *follow, mc_ms_t pause, mc_timer_fn_t fire,
-		      void *arg, mc_handle_t *timer)
+void follow_timer(mc_follow_t *follow, mc_ms_t pause, mc_timer_fn_t fire,
+		  void *arg, mc_handle_t *timer)
 {
 	mc_shard_t *shard = follow->params.shard;
 
@@ -101,7 +101,7 @@
 			next = now + PAUSE_MAX_MS;
 	}
 	if (next != MC_MS_NEVER)
-		set_timer(follow, next > now ? next - now : 1, publish, follow,
+		follow_timer(follow, next > now ? next - now : 1, publish, follow,
 			  &follow->tick);
 }
 
@@ -129,15 +129,17 @@
 			continue;
 		follow->params.source->unwatch(follow->source, kind->kind);
 		kind->open = false;
-		set_timer(follow, 0, go_on, kind, &kind->timer);
+		follow_timer(follow, 0, go_on, kind, &kind->timer);
 	}
 }
 
 /* The store is lost or back: one line, whatever the number of calls. */
-static void note_store(mc_follow_t *follow, mc_err_t err)
+void follow_note_store(mc_follow_t *follow, mc_err_t err)
 {
 	bool lost = err == MC_ERR_STORE_UNAVAILABLE;
 
+	if (!lost)
+		follow->answered = mc_shard_now(follow->params.shard);
 	if (lost)
 		mc_count(mc_shard_counters(follow->params.shard),
 			 MC_COUNTER_STORE_FAILURES, 1);
@@ -160,12 +162,22 @@
 {
 	mc_follow_t *follow = kind->follow;
 
-	set_timer(follow, pause_after(follow, kind->failures++), go_on, kind,
+	follow_timer(follow, pause_after(follow, kind->failures++), go_on, kind,
 		  &kind->timer);
 }
 
+void follow_took_changes(kind_t *kind, const mc_source_result_t *result)
+{
+	follow_take(kind->follow, kind->kind, result);
+	if (result->revision > kind->revision)
+		kind->revision = result->revision;
+	follow_changed(kind->follow);
+}
+
 static void took_watch(kind_t *kind, const mc_source_result_t *result)
 {
+	uint64_t above = kind->revision;
+
 	if (result->err == MC_ERR_HISTORY_GONE) {
 		mc_log(mc_shard_log(kind->follow->params.shard), MC_LOG_NOTICE,
 		       "follow",
@@ -178,9 +190,9 @@
 		watch_anew(kind->follow);
 		return;
 	}
-	follow_take(kind->follow, kind->kind, result);
-	if (result->revision > kind->revision)
-		kind->revision = result->revision;
+	follow_took_changes(kind, result);
+	if (result->text)
+		hear_tell(kind, above, result->text);
 }
 
 static void took_list(kind_t *kind, const mc_source_result_t *result)
@@ -205,12 +217,21 @@
 	kind->after[0] = '\0';
 }
 
+/* After a pause that changes were gathered in. */
+static void go_on_unless_told(mc_shard_t *shard, void *arg)
+{
+	kind_t *kind = arg;
+
+	if (!hear_others(kind->follow))
+		go_on(shard, kind);
+}
+
 static void took(void *ctx, const mc_source_result_t *result)
 {
 	kind_t *kind = ctx;
 
 	kind->open = false;
-	note_store(kind->follow, result->err);
+	follow_note_store(kind->follow, result->err);
 	if (result->err && result->err != MC_ERR_HISTORY_GONE) {
 		failed(kind);
 		return;
@@ -221,12 +242,15 @@
 	else
 		took_list(kind, result);
 	follow_changed(kind->follow);
+	/* Another instance says what comes next. */
+	if (kind->watching && hear_others(kind->follow))
+		return;
 	if (kind->watching && result->record_count &&
 	    result->record_count < MANY_CHANGES)
-		set_timer(kind->follow, gather_time(kind), go_on, kind,
-			  &kind->timer);
+		follow_timer(kind->follow, gather_time(kind), go_on_unless_told,
+			     kind, &kind->timer);
 	else
-		go_on(kind->follow->params.shard, kind);
+		follow_read_on(kind);
 }
 
 static void go_on(mc_shard_t *shard, void *arg)
@@ -250,28 +274,62 @@
 	failed(kind);
 }
 
+void follow_read_on(kind_t *kind)
+{
+	if (kind->open)
+		return;
+	mc_timer_cancel(kind->follow->params.shard, kind->timer);
+	go_on(kind->follow->params.shard, kind);
+}
+
+static mc_source_instance_t self_of(const mc_follow_t *follow)
+{
+	mc_source_instance_t self = { 0 };
+
+	snprintf(self.name, sizeof(self.name), "%s", follow->params.instance);
+	snprintf(self.data_center, sizeof(self.data_center), "%s",
+		 follow->params.data_center);
+	snprintf(self.address, sizeof(self.address), "%s",
+		 follow->params.peers ? follow->params.peers : "");
+	return self;
+}
+
+static bool is_other(const mc_follow_t *follow,
+		     const mc_source_result_t *result)
+{
+	const mc_source_instance_t self = self_of(follow);
+
+	return result->err == MC_ERR_CONFLICT && result->record_count &&
+	       (strcmp(result->records->instance.address, self.address) ||
+		strcmp(result->records->instance.data_center,
+		       self.data_center));
+}
+
 static void announced(void *ctx, const mc_source_result_t *result)
 {
 	mc_follow_t *follow = ctx;
 	mc_handle_t timer = MC_HANDLE_NONE;
 
-	note_store(follow, result->err);
-	if (!result->err || result->err == MC_ERR_CONFLICT)
+	follow_note_store(follow, result->err);
+	/* A former instance of this name was elsewhere. */
+	follow->replaces = is_other(follow, result);
+	if (!result->err || (result->err == MC_ERR_CONFLICT && !follow->replaces))
 		return;
-	set_timer(follow, pause_after(follow, follow->announce_failures++),
+	follow_timer(follow, pause_after(follow, follow->announce_failures++),
 		  announce, follow, &timer);
 }
 
 static void announce(mc_shard_t *shard, void *arg)
 {
 	mc_follow_t *follow = arg;
+	const mc_source_instance_t self = self_of(follow);
 	mc_handle_t timer = MC_HANDLE_NONE;
 
 	mc_count(mc_shard_counters(shard), MC_COUNTER_STORE_CALLS, 1);
-	if (follow->params.source->announce(
-		    follow->source, follow->params.instance,
-		    follow->params.data_center, announced, follow))
-		set_timer(follow, PAUSE_MAX_MS, announce, follow, &timer);
+	if (follow->params.source->announce(follow->source, &self,
+					    follow->replaces, announced,
+					    follow))
+		follow_timer(follow, PAUSE_MAX_MS, announce, follow, &timer);
 }
 
 static void begin(mc_shard_t *shard, void *arg)
@@ -300,6 +358,8 @@
 			.follow = follow,
 			.kind = (mc_source_kind_t)i,
 		};
+	if (hear_create(follow))
+		return MC_ERR_IO;
 	return mc_shard_defer(params->shard, begin, follow);
 }
 
@@ -321,7 +381,9 @@
 {
 	if (!follow)
 		return;
-	follow->params.source->destroy(follow->source);
+	hear_destroy(follow);
+	if (follow->source)
+		follow->params.source->destroy(follow->source);
 	mc_fleet_destroy(follow->fleet);
 	if (follow->pool)
 		apr_pool_destroy(follow->pool);
--- a/src/follow/follow_private.h
+++ b/src/follow/follow_private.h
@@ -8,6 +8,7 @@
 #include <apr_pools.h>
 
 #include "mc/follow.h"
+#include "mc/news.h"
 
 /**
  * struct kind_t - how far a kind of records has been read
@@ -43,12 +44,20 @@
 	mc_fleet_t *fleet;
 	kind_t kinds[MC_SOURCE_KINDS];
 	apr_pool_t *pool;
-	/* Names of instances; the keys are the table's own copies. */
+	/* Instances by name; both are the table's own copies. */
 	apr_hash_t *instances;
+	/* What other instances of this data centre say and hear, or NULL. */
+	mc_news_t *news;
+	mc_handle_t probe_timer;
+	bool probing;
+	/* When the store last answered anything, ms. */
+	mc_ms_t answered;
 	bool store_lost;
 	bool publish_due;
 	mc_handle_t tick;
 	uint32_t announce_failures;
+	/* The announcement takes the place of a former instance's. */
+	bool replaces;
 };
 
 /** follow_take() - take in records of a kind; @whole: a list begins */
@@ -59,6 +68,36 @@
 void follow_list_begin(mc_follow_t *follow, mc_source_kind_t kind);
 void follow_list_end(mc_follow_t *follow, mc_source_kind_t kind);
 
+/** follow_read_on() - ask the store for a kind, from where it is known */
+void follow_read_on(kind_t *kind);
+
+/** follow_took_changes() - changes of a kind, from wherever they came */
+void follow_took_changes(kind_t *kind, const mc_source_result_t *result);
+
+/** follow_note_store() - a call of the store has ended */
+void follow_note_store(mc_follow_t *follow, mc_err_t err);
+
+/** follow_timer() - set a timer anew */
+void follow_timer(mc_follow_t *follow, mc_ms_t pause, mc_timer_fn_t fire,
+		  void *arg, mc_handle_t *timer);
+
+/* hear.c: what instances of one data centre tell each other */
+
+/** hear_create() - MC_OK also without a place to be heard at */
+mc_err_t hear_create(mc_follow_t *follow);
+
+/** hear_destroy() - hear and tell nothing more */
+void hear_destroy(mc_follow_t *follow);
+
+/** hear_instances() - the known instances have changed */
+void hear_instances(mc_follow_t *follow);
+
+/** hear_tell() - the store has told of changes above a revision */
+void hear_tell(const kind_t *kind, uint64_t above, const char *text);
+
+/** hear_others() - whether another instance says what the store says */
+bool hear_others(const mc_follow_t *follow);
+
 /** follow_changed() - publish soon if anything has changed */
 void follow_changed(mc_follow_t *follow);
 
--- a/src/follow/include/mc/follow.h
+++ b/src/follow/include/mc/follow.h
@@ -19,6 +19,8 @@
  * @address: "IP:port" of the store
  * @instance: name of this instance
  * @data_center: its data centre
+ * @peers: "IP:port" where other instances hear what the store says; "" when
+ *	each asks the store itself
  * @apply: a new map is to be in force by then, ms
  * @drain: a target serves on so long after its entry says that it leaves, ms
  * @publish: a new world, the receiver's to unref; on the control shard
@@ -30,6 +32,7 @@
 	const char *address;
 	const char *instance;
 	const char *data_center;
+	const char *peers;
 	mc_ms_t apply;
 	mc_ms_t drain;
 	void (*publish)(void *ctx, const mc_world_t *world);
--- a/src/follow/include/mc/source.h
+++ b/src/follow/include/mc/source.h
@@ -22,6 +22,18 @@
 	MC_SOURCE_KINDS
 } mc_source_kind_t;
 
+/**
+ * struct mc_source_instance_t - an instance of the system
+ * @name: unique among instances
+ * @data_center: where it runs
+ * @address: "IP:port" where others hear its news; "" if nowhere
+ */
+typedef struct mc_source_instance_t {
+	char name[MC_FLEET_NAME_SIZE];
+	char data_center[MC_FLEET_NAME_SIZE];
+	char address[MC_FLEET_NAME_SIZE];
+} mc_source_instance_t;
+
 /**
  * struct mc_source_record_t - a record
  * @name: its name within the kind
@@ -29,6 +41,7 @@
  * @fault: why it can't be read; NULL when it could be
  * @map: MC_SOURCE_MAP: the map; the receiver refs what it keeps
  * @target: MC_SOURCE_TARGETS: the entry
+ * @instance: MC_SOURCE_INSTANCES: the instance
  */
 typedef struct mc_source_record_t {
 	const char *name;
@@ -36,17 +49,20 @@
 	const char *fault;
 	const mc_map_t *map;
 	mc_target_entry_t target;
+	mc_source_instance_t instance;
 } mc_source_record_t;
 
 /**
  * struct mc_source_result_t - how a call ended
  * @err: MC_OK; MC_ERR_HISTORY_GONE (watch: list anew); MC_ERR_CONFLICT
- *	(announce: it is there already); MC_ERR_STORE_UNAVAILABLE, with a last
+ *	(announce: it is there already, and in @records); MC_ERR_STORE_UNAVAILABLE, with a last
  *	message
  * @revision: the store's revision that the records show
  * @more: a list goes on behind the last record's name
  * @record_count: number of @records
  * @records: valid during the call
+ * @text: a watch's answer in the store's own words, for another instance's
+ *	@take; NULL for other calls
  */
 typedef struct mc_source_result_t {
 	mc_err_t err;
@@ -54,6 +70,7 @@
 	bool more;
 	uint32_t record_count;
 	const mc_source_record_t *records;
+	const char *text;
 } mc_source_result_t;
 
 /** mc_source_done_fn_t - called once per call that returned MC_OK */
@@ -74,7 +91,9 @@
  *	may be seconds old
  * @watch: wait until records have changed after @above, at most @wait ms
  * @unwatch: end the open watch of a kind without a call of its handler
- * @announce: create the record of instance @name of @data_center
+ * @take: decode a watch's answer that another instance has passed on; @done is
+ *	called before it returns
+ * @announce: create the record of an instance; @replace: or replace it
  */
 typedef struct mc_source_ops_t {
 	mc_source_t *(*create)(mc_shard_t *shard, const char *address);
@@ -86,9 +105,11 @@
 			  uint64_t above, mc_ms_t wait,
 			  mc_source_done_fn_t done, void *ctx);
 	void (*unwatch)(mc_source_t *source, mc_source_kind_t kind);
-	mc_err_t (*announce)(mc_source_t *source, const char *name,
-			     const char *data_center, mc_source_done_fn_t done,
-			     void *ctx);
+	void (*take)(mc_source_t *source, mc_source_kind_t kind,
+		     const char *text, mc_source_done_fn_t done, void *ctx);
+	mc_err_t (*announce)(mc_source_t *source,
+			     const mc_source_instance_t *instance, bool replace,
+			     mc_source_done_fn_t done, void *ctx);
 } mc_source_ops_t;
 
 #endif
--- a/src/follow/records.c
+++ b/src/follow/records.c
@@ -76,16 +76,20 @@
 
 static void take_instance(mc_follow_t *follow, const mc_source_record_t *record)
 {
-	const void *known = apr_hash_get(follow->instances, record->name,
-					 APR_HASH_KEY_STRING);
+	mc_source_instance_t *known = apr_hash_get(
+		follow->instances, record->name, APR_HASH_KEY_STRING);
 
-	if (record->removed)
+	if (record->removed) {
 		apr_hash_set(follow->instances, record->name,
 			     APR_HASH_KEY_STRING, NULL);
-	else if (!known)
-		apr_hash_set(follow->instances,
-			     apr_pstrdup(follow->pool, record->name),
-			     APR_HASH_KEY_STRING, follow);
+	} else if (known) {
+		*known = record->instance;
+	} else {
+		known = apr_pmemdup(follow->pool, &record->instance,
+				    sizeof(record->instance));
+		apr_hash_set(follow->instances, known->name,
+			     APR_HASH_KEY_STRING, known);
+	}
 	mc_fleet_instances(follow->fleet, apr_hash_count(follow->instances));
 }
 
@@ -103,6 +107,8 @@
 
 	for (i = 0; i < result->record_count; i++)
 		take[kind](follow, &result->records[i]);
+	if (kind == MC_SOURCE_INSTANCES && result->record_count)
+		hear_instances(follow);
 }
 
 void follow_list_begin(mc_follow_t *follow, mc_source_kind_t kind)
--- /dev/null
+++ b/src/news/include/mc/news.h
@@ -0,0 +1,95 @@
+/*
+ * Public header of the news library: instances of one data centre pass on what
+ * the store told one of them, so that not each has to ask the store. An instance
+ * hears the first one, by rank, that hears the store itself; the one that finds
+ * none before it asks the store and tells those behind it. Nobody elects and
+ * nothing is agreed on: who hears nobody asks the store.
+ *
+ * All functions are for the thread of the shard.
+ */
+#ifndef MC_NEWS_H
+#define MC_NEWS_H
+
+#include "mc/net.h"
+#include "mc/wire.h"
+
+enum {
+	MC_NEWS_NAME_SIZE = 128,
+	/* Most instances that one is told of. */
+	MC_NEWS_PEERS_MAX = 256,
+};
+
+/** struct mc_news_peer_t - another instance of this data centre */
+typedef struct mc_news_peer_t {
+	char name[MC_NEWS_NAME_SIZE];
+	char address[MC_NEWS_NAME_SIZE];
+} mc_news_peer_t;
+
+/**
+ * struct mc_news_ops_t - the instance's own side
+ * @describe: fill @revisions of all kinds; true while it hears the store itself
+ * @told: changes of a kind above a revision, in the store's own words
+ * @known: the one that is heard knows kinds up to these revisions
+ * @heard: mc_news_is_heard() has changed
+ */
+typedef struct mc_news_ops_t {
+	bool (*describe)(void *ctx, uint64_t *revisions);
+	void (*told)(void *ctx, uint32_t kind, uint64_t above,
+		     const char *text);
+	void (*known)(void *ctx, const uint64_t *revisions);
+	void (*heard)(void *ctx);
+} mc_news_ops_t;
+
+/**
+ * struct mc_news_params_t - what it works with
+ * @shard: the shard that all runs on
+ * @address: "IP:port" where it is heard
+ * @name: this instance's
+ * @kinds: number of kinds of records, at most MC_WIRE_NEWS_KINDS_MAX
+ * @ops: the instance's side; must outlive the news
+ * @ctx: passed to @ops
+ */
+typedef struct mc_news_params_t {
+	mc_shard_t *shard;
+	const char *address;
+	const char *name;
+	uint32_t kinds;
+	const mc_news_ops_t *ops;
+	void *ctx;
+} mc_news_params_t;
+
+typedef struct mc_news_t mc_news_t;
+
+/** mc_news_create() - NULL, with a last message, when nobody could hear it */
+mc_news_t *mc_news_create(const mc_news_params_t *params);
+
+/** mc_news_destroy() - NULL is allowed */
+void mc_news_destroy(mc_news_t *news);
+
+/** mc_news_peers() - the others of this data centre, as far as is known */
+void mc_news_peers(mc_news_t *news, const mc_news_peer_t *peers,
+		   uint32_t count);
+
+/** mc_news_tell() - pass on what the store said; @text is copied */
+void mc_news_tell(mc_news_t *news, uint32_t kind, uint64_t above,
+		  const char *text);
+
+/** mc_news_is_heard() - another instance is heard that hears the store */
+bool mc_news_is_heard(const mc_news_t *news);
+
+/** mc_news_hearers() - instances that hear this one */
+uint32_t mc_news_hearers(const mc_news_t *news);
+
+/**
+ * mc_news_rank() - which of the peers may be heard, the first first
+ * @name: this instance's
+ * @peers: the others; sorted on return
+ * @count: number of peers
+ *
+ * Pure. Ranks are the same on every instance, so that hearing makes no circle.
+ *
+ * Return: how many of the sorted peers go before this instance.
+ */
+uint32_t mc_news_rank(const char *name, mc_news_peer_t *peers, uint32_t count);
+
+#endif
--- /dev/null
+++ b/src/news/tell.c
@@ -0,0 +1,152 @@
+/*
+ * The side that is heard. Hearers get a state when they come, when it changes
+ * and with each beat, and in between what the store said, in its order.
+ */
+#include "news_private.h"
+
+static void send_state(mc_news_t *news, const hearer_t *hearer)
+{
+	uint64_t revisions[MC_WIRE_NEWS_KINDS_MAX] = { 0 };
+	mc_wire_message_t message = { .kind = MC_WIRE_NEWS_STATE };
+
+	message.news_state.fresh =
+		news->params.ops->describe(news->params.ctx, revisions);
+	message.news_state.count = news->params.kinds;
+	message.news_state.revisions = revisions;
+	news_send(news, hearer->link, &message);
+}
+
+static void beat(mc_shard_t *shard, void *arg)
+{
+	mc_news_t *news = arg;
+	uint32_t cursor = 0;
+	mc_handle_t handle;
+	const hearer_t *hearer;
+
+	(void)shard;
+	news->beat_timer = MC_HANDLE_NONE;
+	while ((hearer = mc_table_next(news->hearers, &cursor, &handle)))
+		if (hearer->known)
+			send_state(news, hearer);
+	if (mc_table_count(news->hearers))
+		news_timer(news, NEWS_BEAT_MS, beat, &news->beat_timer);
+}
+
+void mc_news_tell(mc_news_t *news, uint32_t kind, uint64_t above,
+		  const char *text)
+{
+	const mc_wire_message_t message = {
+		.kind = MC_WIRE_NEWS,
+		.news = { .record_kind = kind, .above = above, .text = text },
+	};
+	uint32_t cursor = 0;
+	mc_handle_t handle;
+	const hearer_t *hearer;
+
+	while ((hearer = mc_table_next(news->hearers, &cursor, &handle)))
+		if (hearer->known)
+			news_send(news, hearer->link, &message);
+}
+
+uint32_t mc_news_hearers(const mc_news_t *news)
+{
+	return mc_table_count(news->hearers);
+}
+
+static void hearer_opened(void *ctx, mc_handle_t link)
+{
+	mc_news_t *news = ctx;
+	mc_handle_t handle;
+	hearer_t *hearer;
+	void *slot;
+
+	if (mc_table_add(news->hearers, &handle, &slot)) {
+		mc_log(mc_shard_log(news->params.shard), MC_LOG_WARNING, "news",
+		       "hearer is refused: %s", mc_last_message());
+		mc_link_close(news->params.shard, link);
+		return;
+	}
+	hearer = slot;
+	hearer->news = news;
+	hearer->handle = handle;
+	hearer->link = link;
+}
+
+static hearer_t *hearer_of(mc_news_t *news, mc_handle_t link)
+{
+	uint32_t cursor = 0;
+	mc_handle_t handle;
+	hearer_t *hearer;
+
+	while ((hearer = mc_table_next(news->hearers, &cursor, &handle)))
+		if (mc_handle_equal(hearer->link, link))
+			return hearer;
+	return NULL;
+}
+
+static void hearer_frame(void *ctx, mc_handle_t link, const char *data,
+			 size_t size)
+{
+	mc_news_t *news = ctx;
+	hearer_t *hearer = hearer_of(news, link);
+	mc_wire_message_t *message;
+
+	if (!hearer)
+		return;
+	if (mc_wire_decode(data, size, &message) ||
+	    message->kind != MC_WIRE_HELLO ||
+	    message->hello.version != MC_WIRE_VERSION) {
+		mc_log(mc_shard_log(news->params.shard), MC_LOG_WARNING, "news",
+		       "hearer is refused: what it said is no greeting");
+		mc_link_close(news->params.shard, link);
+		mc_table_remove(news->hearers, hearer->handle);
+		mc_wire_free(message);
+		return;
+	}
+	mc_log(mc_shard_log(news->params.shard), MC_LOG_INFO, "news",
+	       "an instance hears this one peer=%s", message->hello.address);
+	mc_wire_free(message);
+	hearer->known = true;
+	send_state(news, hearer);
+	if (!news->beat_timer.generation)
+		news_timer(news, NEWS_BEAT_MS, beat, &news->beat_timer);
+}
+
+static void hearer_closed(void *ctx, mc_handle_t link, mc_err_t reason)
+{
+	mc_news_t *news = ctx;
+	hearer_t *hearer = hearer_of(news, link);
+
+	(void)reason;
+	if (hearer)
+		mc_table_remove(news->hearers, hearer->handle);
+}
+
+mc_err_t tell_begin(mc_news_t *news)
+{
+	static const mc_link_events_t events = {
+		.opened = hearer_opened,
+		.frame = hearer_frame,
+		.closed = hearer_closed,
+	};
+	uint16_t port;
+
+	news->hearers = mc_table_create(sizeof(hearer_t), HEARERS_MAX);
+	if (!news->hearers)
+		return mc_fail(MC_ERR_NO_MEMORY, "no memory for hearers");
+	return mc_link_listen(news->params.shard, news->address, &events, news,
+			      &port, &news->listener);
+}
+
+void tell_end(mc_news_t *news)
+{
+	uint32_t cursor = 0;
+	mc_handle_t handle;
+	const hearer_t *hearer;
+
+	mc_timer_cancel(news->params.shard, news->beat_timer);
+	mc_link_listen_stop(news->params.shard, news->listener);
+	while ((hearer = mc_table_next(news->hearers, &cursor, &handle)))
+		mc_link_close(news->params.shard, hearer->link);
+	mc_table_destroy(news->hearers);
+}
--- a/src/settings/include/mc/settings.h
+++ b/src/settings/include/mc/settings.h
@@ -19,6 +19,8 @@
  *	callers = "127.0.0.1:8080"        # where callers are served
  *	ready = "127.0.0.1:8081"          # where readiness is asked
  *	metrics = "127.0.0.1:9464"        # where metrics are served; optional
+ *	peers = "127.0.0.1:7380"          # where instances of its data centre
+ *	                                  # hear its news; optional
  *	notice_ms = 2500                  # of a planned stop, before it closes
  *	apply_ms = 3000                   # a new map is in force by then
  *	drain_ms = 3000                   # a target serves on so long after it
@@ -94,6 +96,7 @@
 	char tier_callers[MC_ADDRESS_SIZE];
 	char ready[MC_ADDRESS_SIZE];
 	char metrics[MC_ADDRESS_SIZE];
+	char tier_peers[MC_ADDRESS_SIZE];
 	mc_ms_t notice;
 	mc_ms_t apply;
 	mc_ms_t drain;
--- a/src/settings/keys.c
+++ b/src/settings/keys.c
@@ -52,6 +52,7 @@
 	  .need = NEED_TIER },
 	{ "tier", "ready", ADDRESS(PORT_ANY), FIELD(ready), .need = NEED_TIER },
 	{ "tier", "metrics", ADDRESS(PORT_ANY), FIELD(metrics) },
+	{ "tier", "peers", ADDRESS(PORT_ANY), FIELD(tier_peers) },
 	{ "tier", "notice_ms", U64(0, GRACE_MS_MAX), FIELD(notice) },
 	{ "tier", "apply_ms", U64(APPLY_MS_MIN, GRACE_MS_MAX), FIELD(apply) },
 	{ "tier", "drain_ms", U64(APPLY_MS_MIN, GRACE_MS_MAX), FIELD(drain) },
--- a/src/tier/tier.c
+++ b/src/tier/tier.c
@@ -171,6 +171,7 @@
 		.address = settings->platform,
 		.instance = settings->instance,
 		.data_center = settings->data_center,
+		.peers = settings->tier_peers,
 		.apply = settings->apply,
 		.drain = settings->drain,
 		.publish = publish,
--- a/src/wire/include/mc/wire.h
+++ b/src/wire/include/mc/wire.h
@@ -20,6 +20,9 @@
 	MC_WIRE_REPORTS_MAX = 4096,
 	MC_WIRE_STRING_MAX = 1 << 20,
 	MC_WIRE_ID_SIZE = 128,
+	/* Kinds of records that news are of, and bytes of one piece of news. */
+	MC_WIRE_NEWS_KINDS_MAX = 16,
+	MC_WIRE_NEWS_TEXT_MAX = 4 << 20,
 	/* Classes of requests, the most urgent is 0. */
 	MC_WIRE_CLASSES = 3,
 };
@@ -38,6 +41,8 @@
 	MC_WIRE_CONFIG_DIGEST,
 	MC_WIRE_CONFIG_REQUEST,
 	MC_WIRE_MOVE,
+	MC_WIRE_NEWS_STATE,
+	MC_WIRE_NEWS,
 } mc_wire_kind_t;
 
 /**
@@ -192,6 +197,30 @@
 	mc_ms_t age;
 } mc_wire_config_t;
 
+/**
+ * struct mc_wire_news_state_t - what an instance that passes news on knows
+ * @fresh: it hears the store itself, and did so just now
+ * @count: number of kinds of records
+ * @revisions: the store's revision up to which it knows each kind
+ */
+typedef struct mc_wire_news_state_t {
+	bool fresh;
+	uint32_t count;
+	uint64_t *revisions;
+} mc_wire_news_state_t;
+
+/**
+ * struct mc_wire_news_t - changes as the store told them
+ * @record_kind: kind of the records
+ * @above: revision of the store above which they are
+ * @text: the store's own words
+ */
+typedef struct mc_wire_news_t {
+	uint32_t record_kind;
+	uint64_t above;
+	const char *text;
+} mc_wire_news_t;
+
 /**
  * struct mc_wire_message_t - any message
  * @kind: which member of the union holds it: CONFIG, CONFIG_DIGEST and
@@ -210,6 +239,8 @@
 		mc_member_message_t member;
 		mc_wire_config_t config;
 		mc_move_digest_t move;
+		mc_wire_news_state_t news_state;
+		mc_wire_news_t news;
 	};
 } mc_wire_message_t;
 
--- a/tests/fuzz/wire_fuzz.c
+++ b/tests/fuzz/wire_fuzz.c
@@ -34,6 +34,8 @@
 	[MC_WIRE_CONFIG_DIGEST] = "nsst",
 	[MC_WIRE_CONFIG_REQUEST] = "nsst",
 	[MC_WIRE_MOVE] = "nnbbs8(nnnnnnnnnnnnnnnnnn)",
+	[MC_WIRE_NEWS_STATE] = "b*n",
+	[MC_WIRE_NEWS] = "kns",
 };
 
 static size_t allocated;
@@ -159,7 +161,7 @@
 
 static void write_message(msgpack_sbuffer *buffer, fuzz_input_t *input)
 {
-	uint32_t kind = 1 + fuzz_below(input, MC_WIRE_MOVE);
+	uint32_t kind = 1 + fuzz_below(input, MC_WIRE_NEWS);
 	const char *shape = shapes[kind];
 	msgpack_packer packer;
 
--- a/tests/unit/follow_test.c
+++ b/tests/unit/follow_test.c
@@ -95,14 +95,15 @@
 	source->unwatched++;
 }
 
-static mc_err_t fake_announce(mc_source_t *source, const char *name,
-			      const char *data_center, mc_source_done_fn_t done,
-			      void *ctx)
+static mc_err_t fake_announce(mc_source_t *source,
+			      const mc_source_instance_t *instance,
+			      bool replace, mc_source_done_fn_t done, void *ctx)
 {
 	const mc_source_result_t result = { .err = MC_OK };
 
-	assert_string_equal(name, "north-1");
-	assert_string_equal(data_center, "north");
+	assert_string_equal(instance->name, "north-1");
+	assert_string_equal(instance->data_center, "north");
+	assert_false(replace);
 	source->announced = true;
 	done(ctx, &result);
 	return MC_OK;
