--- a/src/base/include/mc/base/counter.h
+++ b/src/base/include/mc/base/counter.h
@@ -48,6 +48,8 @@
 	X(CONFIG_STALE, "config_stale", "older configurations ignored")        \
 	X(STORE_CALLS, "store_calls", "calls to the platform's store")         \
 	X(STORE_FAILURES, "store_failures", "failed calls to the store")       \
+	X(NEWS_TAKEN, "news_taken", "changes told by another instance")        \
+	X(NEWS_LOST, "news_lost", "times that no instance was heard any more") \
 	X(PROBES, "probes", "probes sent to peers")                            \
 	X(CONTROL_BYTES, "control_bytes", "bytes sent to peers for control")   \
 	X(FRAMES_SENT, "frames_sent", "frames sent")                           \
--- a/src/follow/follow.c
+++ b/src/follow/follow.c
@@ -101,8 +101,8 @@
 			next = now + PAUSE_MAX_MS;
 	}
 	if (next != MC_MS_NEVER)
-		follow_timer(follow, next > now ? next - now : 1, publish, follow,
-			  &follow->tick);
+		follow_timer(follow, next > now ? next - now : 1, publish,
+			     follow, &follow->tick);
 }
 
 void follow_changed(mc_follow_t *follow)
@@ -163,7 +163,7 @@
 	mc_follow_t *follow = kind->follow;
 
 	follow_timer(follow, pause_after(follow, kind->failures++), go_on, kind,
-		  &kind->timer);
+		     &kind->timer);
 }
 
 void follow_took_changes(kind_t *kind, const mc_source_result_t *result)
@@ -313,10 +313,11 @@
 	follow_note_store(follow, result->err);
 	/* A former instance of this name was elsewhere. */
 	follow->replaces = is_other(follow, result);
-	if (!result->err || (result->err == MC_ERR_CONFLICT && !follow->replaces))
+	if (!result->err ||
+	    (result->err == MC_ERR_CONFLICT && !follow->replaces))
 		return;
 	follow_timer(follow, pause_after(follow, follow->announce_failures++),
-		  announce, follow, &timer);
+		     announce, follow, &timer);
 }
 
 static void announce(mc_shard_t *shard, void *arg)
@@ -326,9 +327,8 @@
 	mc_handle_t timer = MC_HANDLE_NONE;
 
 	mc_count(mc_shard_counters(shard), MC_COUNTER_STORE_CALLS, 1);
-	if (follow->params.source->announce(follow->source, &self,
-					    follow->replaces, announced,
-					    follow))
+	if (follow->params.source->announce(
+		    follow->source, &self, follow->replaces, announced, follow))
 		follow_timer(follow, PAUSE_MAX_MS, announce, follow, &timer);
 }
 
--- a/src/follow/hear.c
+++ b/src/follow/hear.c
@@ -1,9 +1,9 @@
 /*
  * What instances of one data centre tell each other of the store. One that
- * hears another relies on it: its own watches are not renewed when they end, and
- * are begun anew from where they stood when nothing is heard any more. One that
- * is heard looks after the store in short intervals, as those who hear it notice
- * a silent store only by it.
+ * hears another relies on it: its own watches are not renewed when they end,
+ * and are begun anew from where they stood when nothing is heard any more. One
+ * that is heard looks after the store in short intervals, as those who hear it
+ * notice a silent store only by it.
  */
 #include "follow_private.h"
 
@@ -82,8 +82,11 @@
 		follow_read_on(kind);
 		return;
 	}
-	if (result->revision > kind->revision)
-		follow_took_changes(kind, result);
+	if (result->revision <= kind->revision)
+		return;
+	mc_count(mc_shard_counters(kind->follow->params.shard),
+		 MC_COUNTER_NEWS_TAKEN, 1);
+	follow_took_changes(kind, result);
 }
 
 static void told(void *ctx, uint32_t number, uint64_t above, const char *text)
@@ -119,7 +122,11 @@
 	mc_follow_t *follow = ctx;
 	uint32_t i;
 
-	for (i = 0; i < MC_SOURCE_KINDS && !hear_others(follow); i++)
+	if (hear_others(follow))
+		return;
+	mc_count(mc_shard_counters(follow->params.shard), MC_COUNTER_NEWS_LOST,
+		 1);
+	for (i = 0; i < MC_SOURCE_KINDS; i++)
 		follow_read_on(&follow->kinds[i]);
 }
 
--- a/src/follow/include/mc/source.h
+++ b/src/follow/include/mc/source.h
@@ -55,8 +55,8 @@
 /**
  * struct mc_source_result_t - how a call ended
  * @err: MC_OK; MC_ERR_HISTORY_GONE (watch: list anew); MC_ERR_CONFLICT
- *	(announce: it is there already, and in @records); MC_ERR_STORE_UNAVAILABLE, with a last
- *	message
+ *	(announce: it is there already, and in @records);
+ *MC_ERR_STORE_UNAVAILABLE, with a last message
  * @revision: the store's revision that the records show
  * @more: a list goes on behind the last record's name
  * @record_count: number of @records
--- a/src/news/include/mc/news.h
+++ b/src/news/include/mc/news.h
@@ -1,9 +1,9 @@
 /*
  * Public header of the news library: instances of one data centre pass on what
- * the store told one of them, so that not each has to ask the store. An instance
- * hears the first one, by rank, that hears the store itself; the one that finds
- * none before it asks the store and tells those behind it. Nobody elects and
- * nothing is agreed on: who hears nobody asks the store.
+ * the store told one of them, so that not each has to ask the store. An
+ * instance hears the first one, by rank, that hears the store itself; the one
+ * that finds none before it asks the store and tells those behind it. Nobody
+ * elects and nothing is agreed on: who hears nobody asks the store.
  *
  * All functions are for the thread of the shard.
  */
--- a/src/news/news.c
+++ b/src/news/news.c
@@ -87,8 +87,7 @@
 	free(news);
 }
 
-void mc_news_peers(mc_news_t *news, const mc_news_peer_t *peers,
-		   uint32_t count)
+void mc_news_peers(mc_news_t *news, const mc_news_peer_t *peers, uint32_t count)
 {
 	hear_peers(news, peers, count);
 }
--- a/src/replica/belief.c
+++ b/src/replica/belief.c
@@ -40,9 +40,9 @@
 	if (before)
 		belief->cut_off = still_lacking;
 	else
-		belief->cut_off = belief->lacking >= LACKING_MIN &&
-				  belief->lacking >=
-					  belief->recent * lacking_share;
+		belief->cut_off =
+			belief->lacking >= LACKING_MIN &&
+			belief->lacking >= belief->recent * lacking_share;
 	if (before && !belief->cut_off) {
 		belief->recent = 0;
 		belief->lacking = 0;
--- a/tests/system/site.c
+++ b/tests/system/site.c
@@ -83,12 +83,13 @@
 		"shards = 2\ngrace_ms = %d\nlog_level = \"debug\"\n[tier]\n"
 		"instance = \"tier-%u\"\ncallers = \"127.0.0.1:%u\"\n"
 		"ready = \"127.0.0.1:%u\"\nmetrics = \"127.0.0.1:%u\"\n"
+		"peers = \"127.0.0.1:%u\"\n"
 		"notice_ms = 500\nextra_share = 0.2\nextra_slack = 200\n",
 		index % 2,
 		site->store_port ? site->store_port
 				 : objects_port(site->objects),
 		SITE_GRACE_MS, index, instance->callers, instance->ready,
-		instance->metrics);
+		instance->metrics, instance->peers);
 	fclose(file);
 }
 
@@ -102,6 +103,7 @@
 		instance->callers = harness_free_port("127.0.0.1");
 		instance->ready = harness_free_port("127.0.0.1");
 		instance->metrics = harness_free_port("127.0.0.1");
+		instance->peers = harness_free_port("127.0.0.1");
 	}
 	snprintf(name, sizeof(name), "tier-%u", index);
 	snprintf(path, sizeof(path), "%s/%s.toml",
--- a/tests/system/site.h
+++ b/tests/system/site.h
@@ -21,6 +21,7 @@
 	uint16_t callers;
 	uint16_t ready;
 	uint16_t metrics;
+	uint16_t peers;
 } site_instance_t;
 
 /** struct site_t - the site */
--- /dev/null
+++ b/tests/unit/news_test.c
@@ -0,0 +1,271 @@
+/*
+ * Unit tests of the news library: two instances on one shard, over loopback.
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+#include <cmocka.h>
+
+#include "mc/news.h"
+
+enum {
+	WAIT_MS = 20000,
+	KINDS = 2,
+	INSTANCES = 2,
+};
+
+/* One instance's side; guarded by the shard's lock. */
+typedef struct {
+	bool fresh;
+	uint64_t revisions[KINDS];
+	uint64_t known[KINDS];
+	char text[64];
+	uint64_t above;
+	uint32_t kind;
+	uint32_t heard;
+	mc_news_t *news;
+} side_t;
+
+typedef struct {
+	mc_shard_t *shard;
+	/* The first goes before the second. */
+	side_t sides[INSTANCES];
+	mc_news_peer_t peers[INSTANCES];
+} fixture_t;
+
+static bool describe(void *ctx, uint64_t *revisions)
+{
+	side_t *side = ctx;
+
+	memcpy(revisions, side->revisions, sizeof(side->revisions));
+	return side->fresh;
+}
+
+static void told(void *ctx, uint32_t kind, uint64_t above, const char *text)
+{
+	side_t *side = ctx;
+
+	side->kind = kind;
+	side->above = above;
+	snprintf(side->text, sizeof(side->text), "%s", text);
+}
+
+static void known(void *ctx, const uint64_t *revisions)
+{
+	side_t *side = ctx;
+
+	memcpy(side->known, revisions, sizeof(side->known));
+}
+
+static void heard(void *ctx)
+{
+	side_t *side = ctx;
+
+	side->heard++;
+}
+
+static const mc_news_ops_t ops = {
+	.describe = describe,
+	.told = told,
+	.known = known,
+	.heard = heard,
+};
+
+/* A port that was free just now. */
+static uint16_t free_port(mc_shard_t *shard)
+{
+	static const mc_link_events_t none = { 0 };
+	mc_handle_t listener;
+	uint16_t port;
+
+	assert_int_equal(mc_link_listen(shard, "127.0.0.1:0", &none, NULL,
+					&port, &listener),
+			 MC_OK);
+	mc_link_listen_stop(shard, listener);
+	return port;
+}
+
+static int set_up(void **state)
+{
+	const mc_shard_params_t params = {
+		.seed = 1,
+		.clock = mc_clock_system(),
+	};
+	fixture_t *fixture = calloc(1, sizeof(*fixture));
+	int i;
+
+	assert_non_null(fixture);
+	assert_int_equal(mc_net_init(), MC_OK);
+	fixture->shard = mc_shard_create(&params);
+	for (i = 0; i < INSTANCES; i++) {
+		snprintf(fixture->peers[i].name, MC_NEWS_NAME_SIZE, "i-%d", i);
+		snprintf(fixture->peers[i].address, MC_NEWS_NAME_SIZE,
+			 "127.0.0.1:%u", free_port(fixture->shard));
+	}
+	mc_news_rank("", fixture->peers, INSTANCES);
+	for (i = 0; i < INSTANCES; i++) {
+		const mc_news_params_t news = {
+			.shard = fixture->shard,
+			.address = fixture->peers[i].address,
+			.name = fixture->peers[i].name,
+			.kinds = KINDS,
+			.ops = &ops,
+			.ctx = &fixture->sides[i],
+		};
+
+		fixture->sides[i].fresh = true;
+		fixture->sides[i].revisions[1] = 7;
+		fixture->sides[i].news = mc_news_create(&news);
+		assert_non_null(fixture->sides[i].news);
+		mc_news_peers(fixture->sides[i].news,
+			      &fixture->peers[INSTANCES - 1 - i], 1);
+	}
+	assert_int_equal(mc_shard_start(fixture->shard), MC_OK);
+	*state = fixture;
+	return 0;
+}
+
+static int tear_down(void **state)
+{
+	fixture_t *fixture = *state;
+	int i;
+
+	mc_shard_stop(fixture->shard);
+	for (i = 0; i < INSTANCES; i++)
+		mc_news_destroy(fixture->sides[i].news);
+	mc_shard_destroy(fixture->shard);
+	free(fixture);
+	return 0;
+}
+
+static bool is_heard(const fixture_t *fixture)
+{
+	return mc_news_is_heard(fixture->sides[1].news);
+}
+
+static bool has_text(const fixture_t *fixture)
+{
+	return fixture->sides[1].text[0];
+}
+
+static bool is_deaf(const fixture_t *fixture)
+{
+	return !is_heard(fixture);
+}
+
+static void wait_for(fixture_t *fixture, bool (*done)(const fixture_t *))
+{
+	mc_ms_t end = mc_clock_now(mc_clock_system()) + WAIT_MS;
+	bool is_done;
+
+	do {
+		usleep(1000);
+		mc_shard_lock(fixture->shard);
+		is_done = done(fixture);
+		mc_shard_unlock(fixture->shard);
+		assert_true(is_done || mc_clock_now(mc_clock_system()) < end);
+	} while (!is_done);
+}
+
+static void tell(mc_shard_t *shard, void *arg)
+{
+	fixture_t *fixture = arg;
+
+	(void)shard;
+	mc_news_tell(fixture->sides[0].news, 1, 5, "{\"a\": 1}");
+}
+
+static void end_first(mc_shard_t *shard, void *arg)
+{
+	fixture_t *fixture = arg;
+
+	(void)shard;
+	mc_news_destroy(fixture->sides[0].news);
+	fixture->sides[0].news = NULL;
+}
+
+/* The second hears the first, never the other way round. */
+static void test_hears(void **state)
+{
+	fixture_t *fixture = *state;
+
+	wait_for(fixture, is_heard);
+	mc_shard_post(fixture->shard, tell, fixture);
+	wait_for(fixture, has_text);
+	mc_shard_lock(fixture->shard);
+	assert_string_equal(fixture->sides[1].text, "{\"a\": 1}");
+	assert_int_equal(fixture->sides[1].kind, 1);
+	assert_int_equal(fixture->sides[1].above, 5);
+	assert_int_equal(fixture->sides[1].known[1], 7);
+	assert_int_equal(mc_news_hearers(fixture->sides[0].news), 1);
+	assert_int_equal(mc_news_hearers(fixture->sides[1].news), 0);
+	assert_false(mc_news_is_heard(fixture->sides[0].news));
+	mc_shard_unlock(fixture->shard);
+}
+
+/* One that does not hear the store is not relied on, until it does again. */
+static void test_deaf(void **state)
+{
+	fixture_t *fixture = *state;
+
+	wait_for(fixture, is_heard);
+	mc_shard_lock(fixture->shard);
+	fixture->sides[0].fresh = false;
+	mc_shard_unlock(fixture->shard);
+	wait_for(fixture, is_deaf);
+	mc_shard_lock(fixture->shard);
+	fixture->sides[0].fresh = true;
+	mc_shard_unlock(fixture->shard);
+	wait_for(fixture, is_heard);
+}
+
+static void test_gone(void **state)
+{
+	fixture_t *fixture = *state;
+
+	wait_for(fixture, is_heard);
+	mc_shard_post(fixture->shard, end_first, fixture);
+	wait_for(fixture, is_deaf);
+	mc_shard_lock(fixture->shard);
+	assert_int_equal(fixture->sides[1].heard, 2);
+	mc_shard_unlock(fixture->shard);
+}
+
+/* Each instance hears only those before it, so that there is no circle. */
+static void test_rank(void **state)
+{
+	mc_news_peer_t all[9] = { 0 }, others[9];
+	uint32_t places = 0;
+	int i, j;
+
+	(void)state;
+	for (i = 0; i < 9; i++)
+		snprintf(all[i].name, MC_NEWS_NAME_SIZE, "north-%d", i);
+	for (i = 0; i < 9; i++) {
+		uint32_t count = 0, place;
+
+		for (j = 0; j < 9; j++)
+			if (strcmp(all[j].name, all[i].name))
+				others[count++] = all[j];
+		place = mc_news_rank(all[i].name, others, count);
+		assert_in_range(place, 0, 8);
+		places |= UINT32_C(1) << place;
+	}
+	assert_int_equal(places, 0x1ff);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test_setup_teardown(test_hears, set_up, tear_down),
+		cmocka_unit_test_setup_teardown(test_deaf, set_up, tear_down),
+		cmocka_unit_test_setup_teardown(test_gone, set_up, tear_down),
+		cmocka_unit_test(test_rank),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/tests/unit/platform_test.c
+++ b/tests/unit/platform_test.c
@@ -157,6 +157,45 @@
 				 MC_ERR_BAD_REQUEST);
 }
 
+static void took_news(void *ctx, const mc_source_result_t *result)
+{
+	mc_source_instance_t *instance = ctx;
+
+	assert_int_equal(result->err, MC_OK);
+	assert_int_equal(result->revision, 44);
+	assert_int_equal(result->record_count, 2);
+	assert_false(result->records[0].removed);
+	*instance = result->records[0].instance;
+	assert_string_equal(result->records[1].name, "b");
+	assert_true(result->records[1].removed);
+}
+
+static void took_bad_news(void *ctx, const mc_source_result_t *result)
+{
+	(void)ctx;
+	assert_int_equal(result->err, MC_ERR_STORE_UNAVAILABLE);
+}
+
+/* What another instance passes on is decoded as the store's own answer. */
+static void test_news(void **state)
+{
+	static const char text[] =
+		"{\"asOf\": 44, \"events\": [{\"object\": {\"meta\": {\"name\":"
+		" \"a\"}, \"spec\": {\"dataCenter\": \"n\", \"address\":"
+		" \"10.0.0.1:7380\"}}, \"removed\": false}, {\"object\":"
+		" {\"meta\": {\"name\": \"b\"}}, \"removed\": true}]}";
+	const mc_source_ops_t *ops = mc_platform_source();
+	mc_source_instance_t instance;
+
+	(void)state;
+	ops->take(NULL, MC_SOURCE_INSTANCES, text, took_news, &instance);
+	assert_string_equal(instance.name, "a");
+	assert_string_equal(instance.data_center, "n");
+	assert_string_equal(instance.address, "10.0.0.1:7380");
+	ops->take(NULL, MC_SOURCE_INSTANCES, "{\"asOf\"", took_bad_news, NULL);
+	ops->take(NULL, MC_SOURCE_INSTANCES, "[]", took_bad_news, NULL);
+}
+
 static void test_dialect(void **state)
 {
 	const mc_dialect_t *dialect = mc_platform_dialect();
@@ -210,6 +249,7 @@
 		cmocka_unit_test(test_map_split),
 		cmocka_unit_test(test_map_faults),
 		cmocka_unit_test(test_target),
+		cmocka_unit_test(test_news),
 		cmocka_unit_test(test_dialect),
 	};
 
--- a/tests/unit/wire_test.c
+++ b/tests/unit/wire_test.c
@@ -24,6 +24,31 @@
 	return result;
 }
 
+static void test_news(void **state)
+{
+	uint64_t revisions[] = { 3, UINT64_MAX };
+	mc_wire_message_t *result = pass(&(mc_wire_message_t){
+		.kind = MC_WIRE_NEWS_STATE,
+		.news_state = { .fresh = true,
+				.count = 2,
+				.revisions = revisions },
+	});
+
+	(void)state;
+	assert_true(result->news_state.fresh);
+	assert_int_equal(result->news_state.count, 2);
+	assert_true(result->news_state.revisions[1] == UINT64_MAX);
+	mc_wire_free(result);
+	result = pass(&(mc_wire_message_t){
+		.kind = MC_WIRE_NEWS,
+		.news = { .record_kind = 2, .above = 41, .text = "{}" },
+	});
+	assert_int_equal(result->news.record_kind, 2);
+	assert_int_equal(result->news.above, 41);
+	assert_string_equal(result->news.text, "{}");
+	mc_wire_free(result);
+}
+
 static void test_query(void **state)
 {
 	mc_wire_sub_query_t sub_queries[] = {
@@ -194,6 +219,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_query),
+		cmocka_unit_test(test_news),
 		cmocka_unit_test(test_results),
 		cmocka_unit_test(test_peers),
 		cmocka_unit_test(test_move),
