tier: quantiles of a request's parts are taken together

Cause: the running median moves with each sample, and parts of one request arrive in the order of their latencies, so that it stood near the slowest when the next request came: 31 to 64 ms where targets take 11 ms. Hedges went out after 1.5 times that, and targets four times as slow as others seemed no slower than usual. Change: median and high quantile of a request's parts are taken when it ends and move the estimates as one. Test: retry_test: quantile_of.

--- a/src/retry/include/mc/retry.h
+++ b/src/retry/include/mc/retry.h
@@ -49,6 +49,20 @@
 /** mc_quantile_add() - add a latency in ms; @q in (0, 1) */
 void mc_quantile_add(mc_quantile_t *quantile, double q, mc_ms_t latency);
 
+/**
+ * mc_quantile_of() - add a quantile of samples that belong together
+ * @quantile: the estimate
+ * @q: in (0, 1)
+ * @samples: sorted, the least first, ms
+ * @count: number of @samples
+ * @total: samples that there would be; those missing are above all others
+ *
+ * Parts of one request arrive in the order of their latencies, so that adding
+ * one after the other would leave the estimate at the slowest.
+ */
+void mc_quantile_of(mc_quantile_t *quantile, double q, const mc_ms_t *samples,
+		    uint32_t count, uint32_t total);
+
 typedef struct mc_hedge_policy_t mc_hedge_policy_t;
 
 /**
--- a/src/retry/quantile.c
+++ b/src/retry/quantile.c
@@ -13,6 +13,27 @@
 /* Weight of the newest distance in the mean distance. */
 static const double distance_weight = 1.0 / 16;
 
+/* Weight of the newest group of samples. */
+static const double group_weight = 0.3;
+
+void mc_quantile_of(mc_quantile_t *quantile, double q, const mc_ms_t *samples,
+		    uint32_t count, uint32_t total)
+{
+	uint32_t at = (uint32_t)(q * total);
+	double value;
+
+	if (!count)
+		return;
+	value = (double)samples[at < count ? at : count - 1];
+	if (!quantile->samples)
+		quantile->value = value;
+	else
+		quantile->value += (value - quantile->value) * group_weight;
+	quantile->samples = UINT32_MAX - quantile->samples > total
+				    ? quantile->samples + total
+				    : UINT32_MAX;
+}
+
 void mc_quantile_add(mc_quantile_t *quantile, double q, mc_ms_t latency)
 {
 	double sample = latency > 0 ? (double)latency : 0;
--- a/src/tier/end.c
+++ b/src/tier/end.c
@@ -7,6 +7,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "timing.h"
+
 const char *request_id(const request_t *request)
 {
 	return request->call.id ? request->call.id : "-";
@@ -38,6 +40,7 @@
 	mc_timer_cancel(tier->shard, request->timer);
 	mc_records_free(&request->records);
 	free(request->signatures);
+	free(request->latencies);
 	free(request->parts);
 	free(request->head);
 	mc_map_unref(request->map);
@@ -148,6 +151,7 @@
 void end_merged(request_t *request)
 {
 	log_end(request, "ok");
+	timing_learn_parts(request);
 	note_end(request, request->coming.in < request->coming.total
 				  ? METRICS_PARTIAL
 				  : METRICS_WHOLE);
--- a/src/tier/request.c
+++ b/src/tier/request.c
@@ -168,7 +168,8 @@
 		first = mc_map_choose(request->map, route, tier->spread);
 	}
 	request->parts = calloc(count, sizeof(*request->parts));
-	if (!request->parts)
+	request->latencies = calloc(count, sizeof(*request->latencies));
+	if (!request->parts || !request->latencies)
 		return mc_fail(MC_ERR_NO_MEMORY, "no memory for parts");
 	request->part_count = count;
 	request->coming = (mc_coming_t){
--- a/src/tier/send.c
+++ b/src/tier/send.c
@@ -7,6 +7,8 @@
 
 #include <string.h>
 
+#include "timing.h"
+
 enum {
 	LINES_SIZE = 512,
 	STATUS_OK_FIRST = 200,
@@ -227,14 +229,15 @@
 static void note_latency(request_t *request, target_t *target,
 			 const try_t *sent, mc_ms_t now)
 {
-	static const double usual = 0.5, high = 0.95;
 	mc_ms_t latency = now - sent->sent_at;
 
 	mc_health_answered(&target->health, latency, sent->usual, now);
 	if (!request->book)
 		return;
-	mc_quantile_add(&request->book->usual, usual, latency);
-	mc_quantile_add(&request->book->high, high, latency);
+	if (request->part_count == 1)
+		timing_learn(request->book, latency);
+	else if (request->latency_count < request->part_count)
+		request->latencies[request->latency_count++] = latency;
 	metrics_add(&request->book->metrics->target, latency);
 }
 
--- a/src/tier/tier_private.h
+++ b/src/tier/tier_private.h
@@ -198,6 +198,9 @@
 	uint32_t part_count;
 	part_t *parts;
 	mc_records_t records;
+	/* Latencies of parts that are in, of a request to several services. */
+	uint32_t latency_count;
+	mc_ms_t *latencies;
 	char *signatures;
 	size_t signatures_size;
 	size_t signatures_capacity;
--- a/src/tier/timing.c
+++ b/src/tier/timing.c
@@ -4,6 +4,8 @@
  */
 #include "timing.h"
 
+#include <stdlib.h>
+
 #include "end.h"
 #include "mc/hedge_time.h"
 
@@ -62,6 +64,37 @@
 			   spent_before(request, first_byte);
 }
 
+/* Quantiles that are known of a route's parts. */
+static const double usual_quantile = 0.5;
+static const double high_quantile = 0.95;
+
+void timing_learn(book_t *book, mc_ms_t latency)
+{
+	mc_quantile_add(&book->usual, usual_quantile, latency);
+	mc_quantile_add(&book->high, high_quantile, latency);
+}
+
+static int compare_latencies(const void *a, const void *b)
+{
+	mc_ms_t first = *(const mc_ms_t *)a, second = *(const mc_ms_t *)b;
+
+	return (first > second) - (first < second);
+}
+
+void timing_learn_parts(request_t *request)
+{
+	book_t *book = request->book;
+
+	if (!book || request->part_count == 1)
+		return;
+	qsort(request->latencies, request->latency_count,
+	      sizeof(*request->latencies), compare_latencies);
+	mc_quantile_of(&book->usual, usual_quantile, request->latencies,
+		       request->latency_count, request->part_count);
+	mc_quantile_of(&book->high, high_quantile, request->latencies,
+		       request->latency_count, request->part_count);
+}
+
 static mc_ms_t hedge_time(const request_t *request)
 {
 	const book_t *book = request->book;
--- a/tests/unit/retry_test.c
+++ b/tests/unit/retry_test.c
@@ -56,6 +56,31 @@
 	assert_in_range(estimate(0.95, 5000, &p95), 85, 110);
 }
 
+/* Parts of a request arrive sorted; what is learnt must not depend on that. */
+static void test_quantile_of(void **state)
+{
+	mc_quantile_t usual = { 0 }, high = { 0 };
+	mc_ms_t sorted[90];
+	uint32_t i, round;
+
+	(void)state;
+	for (i = 0; i < 90; i++)
+		sorted[i] = i < 80 ? 10 + i / 20 : 50 + i;
+	for (round = 0; round < 20; round++) {
+		mc_quantile_of(&usual, 0.5, sorted, 90, 90);
+		mc_quantile_of(&high, 0.95, sorted, 90, 90);
+	}
+	assert_in_range(usual.value, 11, 13);
+	assert_in_range(high.value, 130, 140);
+	assert_int_equal(usual.samples, 1800);
+	/* Parts that did not come are the slowest ones. */
+	for (round = 0; round < 40; round++)
+		mc_quantile_of(&high, 0.95, sorted, 80, 90);
+	assert_in_range(high.value, 13, 14);
+	mc_quantile_of(&high, 0.95, sorted, 0, 90);
+	assert_in_range(high.value, 13, 14);
+}
+
 static void test_hedge(void **state)
 {
 	mc_quantile_t p95 = { .value = 11.5, .samples = 100 };
@@ -270,6 +295,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_budget),
 		cmocka_unit_test(test_quantile),
+		cmocka_unit_test(test_quantile_of),
 		cmocka_unit_test(test_hedge),
 		cmocka_unit_test(test_wanted),
 		cmocka_unit_test(test_once_answer),
