news are deflated and keep to a budget of bytes; two vain waits take a target out

During a reshard a teller passed some 150 KB to each of 19 hearers, 3 MB over a link of 20 Mbit/s, so that its own requests waited behind that for 0.75 s. Change: messages from 1 KB on are deflated (a list of entries to a tenth), encoded once for all hearers, and a teller passes on at most 320 KB at once and 256 KB a second to all together; beyond that hearers are told the revisions only and ask the store. Cause (2): an instance of a large fleet sees a shard 0.7 times a second, and what it had learnt of a slow or dark target halved in a second; a dark target was never waited for long enough to count. Change: slowness halves in 3 s; two requests in a row that were given up when overdue take a target out as no_answer. Tests: news_test: too_much, deflates; replica_test: unanswered.

--- a/src/news/hear.c
+++ b/src/news/hear.c
@@ -9,6 +9,8 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "frame.h"
+
 enum {
 	CHECK_MS = 250,
 	/* A link that is not made, or whose other side says nothing, ms. */
@@ -90,7 +92,7 @@
 	mc_wire_message_t *message;
 
 	(void)link;
-	if (mc_wire_decode(data, size, &message)) {
+	if (frame_decode(data, size, &message)) {
 		leave(news, "bad_message");
 		return;
 	}
--- a/src/news/include/mc/news.h
+++ b/src/news/include/mc/news.h
@@ -70,7 +70,11 @@
 void mc_news_peers(mc_news_t *news, const mc_news_peer_t *peers,
 		   uint32_t count);
 
-/** mc_news_tell() - pass on what the store said; @text is copied */
+/**
+ * mc_news_tell() - pass on what the store said
+ * @text: copied; when it is too much for this instance's link, hearers are only
+ *	told that there is something, by the revisions of @describe
+ */
 void mc_news_tell(mc_news_t *news, uint32_t kind, uint64_t above,
 		  const char *text);
 
--- a/src/news/news.c
+++ b/src/news/news.c
@@ -7,21 +7,29 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "frame.h"
+
 void news_send(mc_news_t *news, mc_handle_t link,
 	       const mc_wire_message_t *message)
 {
 	char *data;
 	size_t size;
 
-	if (mc_wire_encode(message, &data, &size)) {
+	if (frame_encode(message, &data, &size)) {
 		mc_log(mc_shard_log(news->params.shard), MC_LOG_ERROR, "news",
 		       "news are not sent: %s", mc_last_message());
 		return;
 	}
+	news_send_frame(news, link, data, size);
+	free(data);
+}
+
+void news_send_frame(mc_news_t *news, mc_handle_t link, const char *data,
+		     size_t size)
+{
 	if (!mc_link_send(news->params.shard, link, data, size))
 		mc_count(mc_shard_counters(news->params.shard),
 			 MC_COUNTER_CONTROL_BYTES, size);
-	free(data);
 }
 
 void news_timer(mc_news_t *news, mc_ms_t delay, mc_timer_fn_t fire,
--- a/src/news/news_private.h
+++ b/src/news/news_private.h
@@ -27,8 +27,8 @@
 	char address[MC_NEWS_NAME_SIZE];
 	mc_handle_t listener;
 	mc_handle_t beat_timer;
-	/* The last word to hearers was that the store is heard. */
-	bool said_fresh;
+	/* Up to when the budget of bytes to hearers is used up, ms. */
+	mc_ms_t paid_until;
 	mc_table_t *hearers;
 	/* Those that go before this one, by rank. */
 	uint32_t peer_count;
@@ -60,6 +60,10 @@
 void news_send(mc_news_t *news, mc_handle_t link,
 	       const mc_wire_message_t *message);
 
+/** news_send_frame() - the same, encoded already */
+void news_send_frame(mc_news_t *news, mc_handle_t link, const char *data,
+		     size_t size);
+
 /** news_timer() - set a timer anew */
 void news_timer(mc_news_t *news, mc_ms_t delay, mc_timer_fn_t fire,
 		mc_handle_t *timer);
--- a/src/news/tell.c
+++ b/src/news/tell.c
@@ -1,9 +1,23 @@
 /*
- * The side that is heard. Hearers get a state when they come, when it changes
- * and with each beat, and in between what the store said, in its order.
+ * The side that is heard. Hearers get a state when they come and with each
+ * beat, and in between what the store said, in its order. What would take too
+ * much of this instance's link is not passed on: hearers see by the state that
+ * they lack something and ask the store for it.
  */
 #include "news_private.h"
 
+#include <stdlib.h>
+
+#include "frame.h"
+
+enum {
+	/* Bytes of changes that are passed on, to all hearers together: those
+	 * that can be saved up, and those that are earned in a second. */
+	BYTES_MAX = 320 << 10,
+	BYTES_PER_S = 256 << 10,
+	MS_PER_S = 1000,
+};
+
 static void send_state(mc_news_t *news, const hearer_t *hearer)
 {
 	uint64_t revisions[MC_WIRE_NEWS_KINDS_MAX] = { 0 };
@@ -16,22 +30,44 @@
 	news_send(news, hearer->link, &message);
 }
 
-static void beat(mc_shard_t *shard, void *arg)
+static void send_states(mc_news_t *news)
 {
-	mc_news_t *news = arg;
 	uint32_t cursor = 0;
 	mc_handle_t handle;
 	const hearer_t *hearer;
 
-	(void)shard;
-	news->beat_timer = MC_HANDLE_NONE;
 	while ((hearer = mc_table_next(news->hearers, &cursor, &handle)))
 		if (hearer->known)
 			send_state(news, hearer);
+}
+
+static void beat(mc_shard_t *shard, void *arg)
+{
+	mc_news_t *news = arg;
+
+	(void)shard;
+	news->beat_timer = MC_HANDLE_NONE;
+	send_states(news);
 	if (mc_table_count(news->hearers))
 		news_timer(news, NEWS_BEAT_MS, beat, &news->beat_timer);
 }
 
+/* Takes @bytes from the budget, if there are so many. */
+static bool spend(mc_news_t *news, size_t bytes)
+{
+	mc_ms_t now = mc_shard_now(news->params.shard);
+	mc_ms_t full = (mc_ms_t)BYTES_MAX * MS_PER_S / BYTES_PER_S;
+	mc_ms_t cost = (mc_ms_t)bytes * MS_PER_S / BYTES_PER_S;
+
+	/* Time is saved up, of which each byte takes its part. */
+	if (news->paid_until < now - full)
+		news->paid_until = now - full;
+	if (news->paid_until + cost > now)
+		return false;
+	news->paid_until += cost;
+	return true;
+}
+
 void mc_news_tell(mc_news_t *news, uint32_t kind, uint64_t above,
 		  const char *text)
 {
@@ -39,13 +75,32 @@
 		.kind = MC_WIRE_NEWS,
 		.news = { .record_kind = kind, .above = above, .text = text },
 	};
-	uint32_t cursor = 0;
+	uint32_t hearers = mc_table_count(news->hearers), cursor = 0;
 	mc_handle_t handle;
 	const hearer_t *hearer;
+	char *data;
+	size_t size;
 
-	while ((hearer = mc_table_next(news->hearers, &cursor, &handle)))
-		if (hearer->known)
-			news_send(news, hearer->link, &message);
+	if (!hearers)
+		return;
+	if (frame_encode(&message, &data, &size)) {
+		mc_log(mc_shard_log(news->params.shard), MC_LOG_ERROR, "news",
+		       "changes are not passed on: %s", mc_last_message());
+		send_states(news);
+		return;
+	}
+	if (spend(news, size * hearers)) {
+		while ((hearer =
+				mc_table_next(news->hearers, &cursor, &handle)))
+			if (hearer->known)
+				news_send_frame(news, hearer->link, data, size);
+	} else {
+		mc_log(mc_shard_log(news->params.shard), MC_LOG_DEBUG, "news",
+		       "changes are not passed on kind=%u bytes=%zu hearers=%u",
+		       kind, size, hearers);
+		send_states(news);
+	}
+	free(data);
 }
 
 uint32_t mc_news_hearers(const mc_news_t *news)
@@ -93,7 +148,7 @@
 
 	if (!hearer)
 		return;
-	if (mc_wire_decode(data, size, &message) ||
+	if (frame_decode(data, size, &message) ||
 	    message->kind != MC_WIRE_HELLO ||
 	    message->hello.version != MC_WIRE_VERSION) {
 		mc_log(mc_shard_log(news->params.shard), MC_LOG_WARNING, "news",
--- a/src/replica/health.c
+++ b/src/replica/health.c
@@ -16,12 +16,14 @@
 	OUT_REPLACED_MS = 10000,
 	/* Faults in a row that take a target out, but for the surest ones. */
 	FAULTS_OUT = 3,
+	/* Requests in a row that were given up when overdue that do so. */
+	UNANSWERED_OUT = 2,
 	/* A request is overdue after so many times the usual latency, ... */
 	OVERDUE_TIMES = 4,
 	/* ... but not before this, ms. */
 	OVERDUE_MIN_MS = 40,
 	/* Slowness halves in this time, ms. */
-	SLOW_HALF_LIFE_MS = 1000,
+	SLOW_HALF_LIFE_MS = 3000,
 	/* Requests that are waited for longer than this many times the usual
 	 * count as this many. */
 	SLOW_MOST = 8,
@@ -57,10 +59,16 @@
 	health->updated = now;
 }
 
+static double overdue(double usual)
+{
+	return fmax(usual * OVERDUE_TIMES, OVERDUE_MIN_MS);
+}
+
 void mc_health_answered(mc_health_t *health, mc_ms_t latency, double usual,
 			mc_ms_t now)
 {
 	health->faults = 0;
+	health->unanswered = 0;
 	health->failing -= health->failing * failing_weight;
 	if (health->out_until) {
 		health->out_until = 0;
@@ -71,7 +79,7 @@
 	add_latency(health, latency, usual, now);
 }
 
-void mc_health_waited(mc_health_t *health, mc_ms_t waited, double usual,
+bool mc_health_waited(mc_health_t *health, mc_ms_t waited, double usual,
 		      mc_ms_t now)
 {
 	double before = mc_health_slowness(health, now);
@@ -79,6 +87,9 @@
 	/* It would have taken at least so long. */
 	if ((double)waited > usual * before)
 		add_latency(health, waited, usual, now);
+	if ((double)waited <= overdue(usual))
+		return false;
+	return ++health->unanswered >= UNANSWERED_OUT;
 }
 
 void mc_health_reached(mc_health_t *health)
@@ -100,6 +111,7 @@
 		      mc_ms_t now)
 {
 	bool was_out = health->out_until > now;
+	bool sure;
 	mc_ms_t time = health->out_time ? health->out_time * 2 : OUT_MIN_MS;
 
 	health->faults++;
@@ -113,7 +125,10 @@
 	if (was_out)
 		return false;
 	health->unreachable = fault == MC_REPLICA_UNREACHABLE;
-	if (fault != MC_REPLICA_UNREACHABLE && health->faults < FAULTS_OUT &&
+	sure = fault == MC_REPLICA_UNREACHABLE ||
+	       (fault == MC_REPLICA_NO_ANSWER &&
+		health->unanswered >= UNANSWERED_OUT);
+	if (!sure && health->faults < FAULTS_OUT &&
 	    health->failing < failing_out && !health->out_until)
 		return false;
 	take_out(health, time, now);
@@ -129,11 +144,9 @@
 mc_replica_level_t mc_health_level(const mc_health_t *health, mc_ms_t oldest,
 				   double usual, mc_ms_t now)
 {
-	double overdue = fmax(usual * OVERDUE_TIMES, OVERDUE_MIN_MS);
-
 	if (health->out_until > now)
 		return MC_REPLICA_OUT;
-	if ((double)oldest > overdue)
+	if ((double)oldest > overdue(usual))
 		return MC_REPLICA_SILENT;
 	if (health->out_until)
 		return MC_REPLICA_PROBE;
--- a/src/replica/include/mc/replica.h
+++ b/src/replica/include/mc/replica.h
@@ -37,6 +37,7 @@
  * @slowness: smoothed ratio of its latency to its service's, less 1
  * @failing: smoothed share of requests that failed
  * @faults: faults in a row
+ * @unanswered: requests in a row that were given up when they were overdue
  * @out_time: how long it was taken out the last time, ms
  * @out_until: it is out until then, ms; 0 when it is not
  * @unreachable: it is out as no connection could be made
@@ -46,6 +47,7 @@
 	double slowness;
 	double failing;
 	uint32_t faults;
+	uint32_t unanswered;
 	mc_ms_t out_time;
 	mc_ms_t out_until;
 	bool unreachable;
@@ -59,8 +61,13 @@
 void mc_health_answered(mc_health_t *health, mc_ms_t latency, double usual,
 			mc_ms_t now);
 
-/** mc_health_waited() - a request was given up after @waited ms; no fault */
-void mc_health_waited(mc_health_t *health, mc_ms_t waited, double usual,
+/**
+ * mc_health_waited() - a request was given up after @waited ms
+ *
+ * Return: true when so many were given up long after others would have been
+ * answered that this counts as a fault, MC_REPLICA_NO_ANSWER.
+ */
+bool mc_health_waited(mc_health_t *health, mc_ms_t waited, double usual,
 		      mc_ms_t now);
 
 /**
--- a/src/tier/send.c
+++ b/src/tier/send.c
@@ -189,13 +189,13 @@
 
 	if (target && waited > TIER_SILENT_MS)
 		target_missed(tier, target);
-	if (target && waited > SILENT_MS &&
-	    (double)waited > sent->usual * SILENT_TIMES)
+	if (target &&
+	    (mc_health_waited(&target->health, waited, sent->usual, now) ||
+	     (waited > SILENT_MS &&
+	      (double)waited > sent->usual * SILENT_TIMES)))
 		note_fault(tier, target,
 			   mc_table_get(tier->requests, sent->request),
 			   MC_REPLICA_NO_ANSWER, "no_answer");
-	else if (target)
-		mc_health_waited(&target->health, waited, sent->usual, now);
 	forget(tier, sent);
 	if (!link)
 		return;
--- a/tests/unit/news_test.c
+++ b/tests/unit/news_test.c
@@ -207,6 +207,66 @@
 	mc_shard_unlock(fixture->shard);
 }
 
+static bool knows_more(const fixture_t *fixture)
+{
+	return fixture->sides[1].known[1] == 8;
+}
+
+static void tell_much(mc_shard_t *shard, void *arg)
+{
+	fixture_t *fixture = arg;
+	static char text[1 << 20];
+	mc_random_t random;
+	size_t i;
+
+	(void)shard;
+	/* What does not deflate well. */
+	mc_random_seed(&random, 3);
+	for (i = 0; i < sizeof(text) - 1; i++)
+		text[i] = (char)(' ' + mc_random_below(&random, 90));
+	fixture->sides[0].revisions[1] = 8;
+	mc_news_tell(fixture->sides[0].news, 1, 7, text);
+}
+
+/* What would fill the link is asked from the store, not passed on. */
+static void test_too_much(void **state)
+{
+	fixture_t *fixture = *state;
+
+	wait_for(fixture, is_heard);
+	mc_shard_post(fixture->shard, tell_much, fixture);
+	wait_for(fixture, knows_more);
+	mc_shard_lock(fixture->shard);
+	assert_string_equal(fixture->sides[1].text, "");
+	mc_shard_unlock(fixture->shard);
+	mc_shard_post(fixture->shard, tell, fixture);
+	wait_for(fixture, has_text);
+}
+
+static void tell_long(mc_shard_t *shard, void *arg)
+{
+	fixture_t *fixture = arg;
+	static char text[1 << 20];
+
+	(void)shard;
+	memset(text, 'x', sizeof(text) - 1);
+	mc_news_tell(fixture->sides[0].news, 1, 7, text);
+}
+
+/* Long texts that deflate well are passed on. */
+static void test_deflates(void **state)
+{
+	fixture_t *fixture = *state;
+
+	wait_for(fixture, is_heard);
+	mc_shard_post(fixture->shard, tell_long, fixture);
+	wait_for(fixture, has_text);
+	mc_shard_lock(fixture->shard);
+	assert_int_equal(strspn(fixture->sides[1].text, "x"),
+			 sizeof(fixture->sides[1].text) - 1);
+	mc_shard_unlock(fixture->shard);
+}
+
 /* One that does not hear the store is not relied on, until it does again. */
 static void test_deaf(void **state)
 {
@@ -262,6 +322,10 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test_setup_teardown(test_hears, set_up, tear_down),
+		cmocka_unit_test_setup_teardown(test_deflates, set_up,
+						tear_down),
+		cmocka_unit_test_setup_teardown(test_too_much, set_up,
+						tear_down),
 		cmocka_unit_test_setup_teardown(test_deaf, set_up, tear_down),
 		cmocka_unit_test_setup_teardown(test_gone, set_up, tear_down),
 		cmocka_unit_test(test_rank),
--- a/tests/unit/replica_test.c
+++ b/tests/unit/replica_test.c
@@ -86,6 +86,29 @@
 			 MC_REPLICA_SILENT);
 }
 
+/* One that was waited for in vain twice is left alone; a pause is not enough.
+ */
+static void test_unanswered(void **state)
+{
+	mc_health_t health = { 0 };
+
+	(void)state;
+	/* Not long enough for the first time, and answered in between. */
+	assert_false(mc_health_waited(&health, 60, usual, 0));
+	assert_false(mc_health_waited(&health, 100, usual, 100));
+	mc_health_answered(&health, 20, usual, 200);
+	assert_false(mc_health_waited(&health, 100, usual, 300));
+	assert_int_equal(level(&health, 300), MC_REPLICA_GOOD);
+	assert_true(mc_health_waited(&health, 100, usual, 1500));
+	assert_true(mc_health_failed(&health, MC_REPLICA_NO_ANSWER, 1500));
+	assert_int_equal(level(&health, 1500), MC_REPLICA_OUT);
+	/* The one that finds out is not waited for twice again. */
+	assert_int_equal(level(&health, health.out_until), MC_REPLICA_PROBE);
+	assert_true(mc_health_waited(&health, 100, usual, 3000));
+	assert_true(mc_health_failed(&health, MC_REPLICA_NO_ANSWER, 3000));
+	assert_true(health.out_time > 300);
+}
+
 static uint32_t pick(const mc_candidate_t *candidates, uint32_t count,
 		     bool careful)
 {
@@ -161,6 +184,7 @@
 		cmocka_unit_test(test_errors),
 		cmocka_unit_test(test_reached),
 		cmocka_unit_test(test_slow),
+		cmocka_unit_test(test_unanswered),
 		cmocka_unit_test(test_pick),
 		cmocka_unit_test(test_careful),
 		cmocka_unit_test(test_belief),
