--- a/src/follow/follow.c
+++ b/src/follow/follow.c
@@ -168,7 +168,12 @@
 
 void follow_took_changes(kind_t *kind, const mc_source_result_t *result)
 {
-	follow_take(kind->follow, kind->kind, result);
+	mc_ms_t now = mc_shard_now(kind->follow->params.shard);
+
+	/* What was missed may have been true for as long. */
+	follow_take(kind->follow, kind->kind, result,
+		    kind->current_until < now ? kind->current_until : now);
+	kind->current_until = MC_MS_NEVER;
 	if (result->revision > kind->revision)
 		kind->revision = result->revision;
 	follow_changed(kind->follow);
@@ -203,7 +208,8 @@
 		kind->list_revision = result->revision;
 		follow_list_begin(kind->follow, kind->kind);
 	}
-	follow_take(kind->follow, kind->kind, result);
+	follow_take(kind->follow, kind->kind, result,
+		    mc_shard_now(kind->follow->params.shard));
 	if (result->more && result->record_count) {
 		last = &result->records[result->record_count - 1];
 		snprintf(kind->after, sizeof(kind->after), "%s", last->name);
@@ -357,6 +363,7 @@
 		follow->kinds[i] = (kind_t){
 			.follow = follow,
 			.kind = (mc_source_kind_t)i,
+			.current_until = MC_MS_NEVER,
 		};
 	if (hear_create(follow))
 		return MC_ERR_IO;
--- a/src/follow/follow_private.h
+++ b/src/follow/follow_private.h
@@ -21,6 +21,8 @@
  * @revision: the store's revision up to which records are known
  * @list_revision: revision of the list's first page
  * @after: name behind which the list goes on
+ * @current_until: until when nothing can have been missed, while the store is
+ *	asked what came after that; MC_MS_NEVER else
  * @failures: calls that failed in a row
  * @timer: of the next try
  */
@@ -34,6 +36,7 @@
 	uint64_t revision;
 	uint64_t list_revision;
 	char after[MC_FLEET_NAME_SIZE * 2];
+	mc_ms_t current_until;
 	uint32_t failures;
 	mc_handle_t timer;
 } kind_t;
@@ -60,9 +63,9 @@
 	bool replaces;
 };
 
-/** follow_take() - take in records of a kind; @whole: a list begins */
+/** follow_take() - take in records of a kind that were true at @at, ms */
 void follow_take(mc_follow_t *follow, mc_source_kind_t kind,
-		 const mc_source_result_t *result);
+		 const mc_source_result_t *result, mc_ms_t at);
 
 /** follow_list_begin(), follow_list_end() - around the pages of a list */
 void follow_list_begin(mc_follow_t *follow, mc_source_kind_t kind);
--- a/src/follow/hear.c
+++ b/src/follow/hear.c
@@ -126,8 +126,10 @@
 		return;
 	mc_count(mc_shard_counters(follow->params.shard), MC_COUNTER_NEWS_LOST,
 		 1);
-	for (i = 0; i < MC_SOURCE_KINDS; i++)
+	for (i = 0; i < MC_SOURCE_KINDS; i++) {
+		follow->kinds[i].current_until = mc_news_heard_at(follow->news);
 		follow_read_on(&follow->kinds[i]);
+	}
 }
 
 void hear_tell(const kind_t *kind, uint64_t above, const char *text)
--- a/src/follow/records.c
+++ b/src/follow/records.c
@@ -14,11 +14,13 @@
 	       record->name, record->fault);
 }
 
-static void take_map(mc_follow_t *follow, const mc_source_record_t *record)
+static void take_map(mc_follow_t *follow, const mc_source_record_t *record,
+		     mc_ms_t at)
 {
 	uint64_t known = mc_fleet_version(follow->fleet);
 	uint64_t version;
 
+	(void)at;
 	if (record->removed)
 		return;
 	if (record->fault) {
@@ -42,7 +44,8 @@
 	       mc_map_service_count(record->map));
 }
 
-static void take_target(mc_follow_t *follow, const mc_source_record_t *record)
+static void take_target(mc_follow_t *follow, const mc_source_record_t *record,
+			mc_ms_t at)
 {
 	const mc_target_entry_t *entry = &record->target;
 	mc_ms_t now = mc_shard_now(follow->params.shard);
@@ -50,13 +53,13 @@
 	if (record->removed || record->fault) {
 		if (record->fault)
 			log_fault(follow, "target", record);
-		mc_fleet_drop(follow->fleet, record->name, now);
+		mc_fleet_drop(follow->fleet, record->name, at);
 		mc_log(mc_shard_log(follow->params.shard), MC_LOG_INFO,
 		       "follow", "target's entry is gone target=%s",
 		       record->name);
 		return;
 	}
-	if (mc_fleet_put(follow->fleet, entry, now))
+	if (mc_fleet_put(follow->fleet, entry, entry->draining ? at : now))
 		mc_log(mc_shard_log(follow->params.shard), MC_LOG_ERROR,
 		       "follow", "target is ignored: %s", mc_last_message());
 	mc_log(mc_shard_log(follow->params.shard), MC_LOG_INFO, "follow",
@@ -66,19 +69,23 @@
 	       (long long)entry->cold_left, (long long)entry->started);
 }
 
-static void take_out(mc_follow_t *follow, const mc_source_record_t *record)
+static void take_out(mc_follow_t *follow, const mc_source_record_t *record,
+		     mc_ms_t at)
 {
+	(void)at;
 	mc_fleet_out(follow->fleet, record->name, !record->removed);
 	mc_log(mc_shard_log(follow->params.shard), MC_LOG_NOTICE, "follow",
 	       "data centre is %s data_center=%s",
 	       record->removed ? "in again" : "out", record->name);
 }
 
-static void take_instance(mc_follow_t *follow, const mc_source_record_t *record)
+static void take_instance(mc_follow_t *follow, const mc_source_record_t *record,
+			  mc_ms_t at)
 {
 	mc_source_instance_t *known = apr_hash_get(
 		follow->instances, record->name, APR_HASH_KEY_STRING);
 
+	(void)at;
 	if (record->removed) {
 		apr_hash_set(follow->instances, record->name,
 			     APR_HASH_KEY_STRING, NULL);
@@ -94,10 +101,10 @@
 }
 
 void follow_take(mc_follow_t *follow, mc_source_kind_t kind,
-		 const mc_source_result_t *result)
+		 const mc_source_result_t *result, mc_ms_t at)
 {
-	static void (*const take[])(mc_follow_t *,
-				    const mc_source_record_t *) = {
+	static void (*const take[])(mc_follow_t *, const mc_source_record_t *,
+				    mc_ms_t) = {
 		[MC_SOURCE_MAP] = take_map,
 		[MC_SOURCE_TARGETS] = take_target,
 		[MC_SOURCE_OUT] = take_out,
@@ -106,7 +113,7 @@
 	uint32_t i;
 
 	for (i = 0; i < result->record_count; i++)
-		take[kind](follow, &result->records[i]);
+		take[kind](follow, &result->records[i], at);
 	if (kind == MC_SOURCE_INSTANCES && result->record_count)
 		hear_instances(follow);
 }
--- a/src/news/frame.c
+++ b/src/news/frame.c
@@ -70,7 +70,8 @@
 	inflated = malloc(room ? room : 1);
 	if (!inflated)
 		return mc_fail(MC_ERR_NO_MEMORY, "no memory to inflate");
-	if (uncompress((Bytef *)inflated, &room, (const Bytef *)data + HEAD_SIZE,
+	if (uncompress((Bytef *)inflated, &room,
+		       (const Bytef *)data + HEAD_SIZE,
 		       size - HEAD_SIZE) == Z_OK)
 		err = mc_wire_decode(inflated, room, message);
 	else
--- a/src/news/hear.c
+++ b/src/news/hear.c
@@ -187,6 +187,11 @@
 	return news->heard;
 }
 
+mc_ms_t mc_news_heard_at(const mc_news_t *news)
+{
+	return news->heard_at;
+}
+
 void hear_end(mc_news_t *news)
 {
 	mc_timer_cancel(news->params.shard, news->check_timer);
--- a/src/news/include/mc/news.h
+++ b/src/news/include/mc/news.h
@@ -81,6 +81,9 @@
 /** mc_news_is_heard() - another instance is heard that hears the store */
 bool mc_news_is_heard(const mc_news_t *news);
 
+/** mc_news_heard_at() - when another instance was heard last, ms */
+mc_ms_t mc_news_heard_at(const mc_news_t *news);
+
 /** mc_news_hearers() - instances that hear this one */
 uint32_t mc_news_hearers(const mc_news_t *news);
 
