follow: watches end before the store forgets what they began from

Change: a watch waits for three quarters of tier.history_ms (from the platform's settings); the first watch of instances, which all announce themselves in the same moment, begins after 0.5 s. Test: follow_test: list_and_watch looks at the wait (30000 before).

--- a/src/follow/follow.c
+++ b/src/follow/follow.c
@@ -20,35 +20,44 @@
 	APPLY_WATCH_NUMERATOR = 2,
 	APPLY_WATCH_DENOMINATOR = 3,
 	DRAIN_GATHER_PART = 6,
+	/* Part of what the store remembers: a watch that waits for longer ends
+	 * with its history gone. */
+	HISTORY_WATCH_NUMERATOR = 3,
+	HISTORY_WATCH_DENOMINATOR = 4,
+	WATCH_MAX_MS = 30000,
 	/* So many changes at once may be a part of more: no pause then. */
 	MANY_CHANGES = 16,
 };
 
 /*
- * @watch: how long one watch waits, ms; 0 for a part of the bound of maps, as a
- *	store that has gone silent is noticed by the map's. The others are then
- *	begun anew
+ * @short_watch: one watch waits for a part of the bound of maps, as a store that
+ *	has gone silent is noticed by the map's. The others are then begun anew
  * @gather: after a change, changes that come in this time are read together,
  *	ms; 0 for a part of the bound of targets that leave
+ * @settle: pause before the first watch, ms
  */
 static const struct {
 	const char *name;
-	mc_ms_t watch;
+	bool short_watch;
 	mc_ms_t gather;
+	mc_ms_t settle;
 } kinds[] = {
-	[MC_SOURCE_MAP] = { "map", 0, 100 },
-	[MC_SOURCE_TARGETS] = { "targets", 30000, 0 },
-	[MC_SOURCE_OUT] = { "out", 30000, 100 },
-	[MC_SOURCE_INSTANCES] = { "instances", 30000, 1000 },
+	[MC_SOURCE_MAP] = { "map", true, 100, 0 },
+	[MC_SOURCE_TARGETS] = { "targets", false, 0, 0 },
+	[MC_SOURCE_OUT] = { "out", false, 100, 0 },
+	[MC_SOURCE_INSTANCES] = { "instances", false, 1000, 500 },
 };
 
 static mc_ms_t watch_time(const kind_t *kind)
 {
-	mc_ms_t watch = kinds[kind->kind].watch;
-
-	return watch ? watch
-		     : kind->follow->params.apply * APPLY_WATCH_NUMERATOR /
-			       APPLY_WATCH_DENOMINATOR;
+	const mc_follow_params_t *params = &kind->follow->params;
+	mc_ms_t longest = params->history * HISTORY_WATCH_NUMERATOR /
+			  HISTORY_WATCH_DENOMINATOR;
+
+	if (kinds[kind->kind].short_watch)
+		return params->apply * APPLY_WATCH_NUMERATOR /
+		       APPLY_WATCH_DENOMINATOR;
+	return longest < WATCH_MAX_MS ? longest : WATCH_MAX_MS;
 }
 
 static mc_ms_t gather_time(const kind_t *kind)
@@ -235,6 +244,7 @@
 static void took(void *ctx, const mc_source_result_t *result)
 {
 	kind_t *kind = ctx;
+	bool first;
 
 	kind->open = false;
 	follow_note_store(kind->follow, result->err);
@@ -243,6 +253,7 @@
 		return;
 	}
 	kind->failures = 0;
+	first = !kind->listed && kinds[kind->kind].settle;
 	if (kind->watching)
 		took_watch(kind, result);
 	else
@@ -251,10 +262,12 @@
 	/* Another instance says what comes next. */
 	if (kind->watching && hear_others(kind->follow))
 		return;
-	if (kind->watching && result->record_count &&
-	    result->record_count < MANY_CHANGES)
-		follow_timer(kind->follow, gather_time(kind), go_on_unless_told,
-			     kind, &kind->timer);
+	if (kind->watching && (first || (result->record_count &&
+					 result->record_count < MANY_CHANGES)))
+		follow_timer(kind->follow,
+			     first ? kinds[kind->kind].settle
+				   : gather_time(kind),
+			     go_on_unless_told, kind, &kind->timer);
 	else
 		follow_read_on(kind);
 }
--- a/src/follow/include/mc/follow.h
+++ b/src/follow/include/mc/follow.h
@@ -23,6 +23,7 @@
  *	each asks the store itself
  * @apply: a new map is to be in force by then, ms
  * @drain: a target serves on so long after its entry says that it leaves, ms
+ * @history: the store remembers changes for so long, ms
  * @publish: a new world, the receiver's to unref; on the control shard
  * @ctx: passed to @publish
  */
@@ -35,6 +36,7 @@
 	const char *peers;
 	mc_ms_t apply;
 	mc_ms_t drain;
+	mc_ms_t history;
 	void (*publish)(void *ctx, const mc_world_t *world);
 	void *ctx;
 } mc_follow_params_t;
--- a/src/settings/include/mc/settings.h
+++ b/src/settings/include/mc/settings.h
@@ -25,6 +25,7 @@
  *	apply_ms = 3000                   # a new map is in force by then
  *	drain_ms = 3000                   # a target serves on so long after it
  *	                                  # said that it leaves
+ *	history_ms = 20000                # the store remembers changes so long
  *	extra_share = 0.2                 # extra requests per request to a
  *	                                  # service, of all instances
  *	extra_window_ms = 10000           # span in which they are counted
@@ -100,6 +101,7 @@
 	mc_ms_t notice;
 	mc_ms_t apply;
 	mc_ms_t drain;
+	mc_ms_t history;
 	double extra_share;
 	mc_ms_t extra_window;
 	uint32_t extra_slack;
--- a/src/tier/tier.c
+++ b/src/tier/tier.c
@@ -174,6 +174,7 @@
 		.peers = settings->tier_peers,
 		.apply = settings->apply,
 		.drain = settings->drain,
+		.history = settings->history,
 		.publish = publish,
 		.ctx = process,
 	};
--- a/tests/unit/follow_test.c
+++ b/tests/unit/follow_test.c
@@ -23,6 +23,7 @@
 	bool watches;
 	bool cheap;
 	uint64_t above;
+	mc_ms_t wait;
 	char after[64];
 	mc_source_done_fn_t done;
 	void *ctx;
@@ -75,12 +76,12 @@
 {
 	call_t *call = &source->calls[kind];
 
-	(void)wait;
 	assert_false(call->open);
 	*call = (call_t){
 		.open = true,
 		.watches = true,
 		.above = above,
+		.wait = wait,
 		.done = done,
 		.ctx = ctx,
 	};
@@ -140,6 +141,7 @@
 		.data_center = "north",
 		.apply = 3000,
 		.drain = 3000,
+		.history = 20000,
 		.publish = publish,
 		.ctx = fixture,
 	};
@@ -271,6 +273,8 @@
 	call = wait_call(fixture, MC_SOURCE_TARGETS);
 	assert_true(call.watches);
 	assert_int_equal(call.above, 40);
+	/* Longer than the store remembers, it would end with nothing. */
+	assert_in_range(call.wait, 5000, 19000);
 	assert_int_equal(known_targets(fixture, 2), 2);
 	/* An entry that can't be read names no target; the others stay. */
 	reply.result = (mc_source_result_t){ .revision = 50,
