follow: while the store is lost only the map's call tries again

Change: kinds that fail with the store lost wait until it is back, which the map's call finds out. Test: follow_test: lost_store_is_asked_once, seen to fail before.

--- a/src/follow/follow.c
+++ b/src/follow/follow.c
@@ -30,8 +30,8 @@
 };
 
 /*
- * @short_watch: one watch waits for a part of the bound of maps, as a store that
- *	has gone silent is noticed by the map's. The others are then begun anew
+ * @short_watch: one watch waits for a part of the bound of maps, as a store
+ *that has gone silent is noticed by the map's. The others are then begun anew
  * @gather: after a change, changes that come in this time are read together,
  *	ms; 0 for a part of the bound of targets that leave
  * @settle: pause before the first watch, ms
@@ -142,6 +142,17 @@
 	}
 }
 
+/* Kinds that waited for the store go on. */
+static void unpark(mc_follow_t *follow)
+{
+	uint32_t i;
+
+	for (i = 0; i < MC_SOURCE_KINDS; i++)
+		if (follow->kinds[i].parked)
+			follow_timer(follow, 0, go_on, &follow->kinds[i],
+				     &follow->kinds[i].timer);
+}
+
 /* The store is lost or back: one line, whatever the number of calls. */
 void follow_note_store(mc_follow_t *follow, mc_err_t err)
 {
@@ -156,6 +167,8 @@
 		return;
 	follow->store_lost = lost;
 	watch_anew(follow);
+	if (!lost)
+		unpark(follow);
 	if (lost)
 		mc_log(mc_shard_log(follow->params.shard), MC_LOG_WARNING,
 		       "follow", "store is lost map=%llu reason=\"%s\"",
@@ -167,10 +180,19 @@
 		       (unsigned long long)mc_fleet_version(follow->fleet));
 }
 
+/* While the store is lost the map alone finds out whether it is back. */
 static void failed(kind_t *kind)
 {
 	mc_follow_t *follow = kind->follow;
 
+	if (follow->store_lost && kind->kind != MC_SOURCE_MAP) {
+		kind->parked = true;
+		kind->failures++;
+		/* It may hear another instance and ask nothing. */
+		if (!follow->kinds[MC_SOURCE_MAP].failures)
+			follow_read_on(&follow->kinds[MC_SOURCE_MAP]);
+		return;
+	}
 	follow_timer(follow, pause_after(follow, kind->failures++), go_on, kind,
 		     &kind->timer);
 }
@@ -280,6 +302,7 @@
 	mc_err_t err;
 
 	mc_count(mc_shard_counters(shard), MC_COUNTER_STORE_CALLS, 1);
+	kind->parked = false;
 	kind->open = true;
 	if (kind->watching)
 		err = ops->watch(follow->source, kind->kind, kind->revision,
--- a/src/follow/follow_private.h
+++ b/src/follow/follow_private.h
@@ -23,6 +23,7 @@
  * @after: name behind which the list goes on
  * @current_until: until when nothing can have been missed, while the store is
  *	asked what came after that; MC_MS_NEVER else
+ * @parked: it failed with the store lost and goes on when that is back
  * @failures: calls that failed in a row
  * @timer: of the next try
  */
@@ -37,6 +38,7 @@
 	uint64_t list_revision;
 	char after[MC_FLEET_NAME_SIZE * 2];
 	mc_ms_t current_until;
+	bool parked;
 	uint32_t failures;
 	mc_handle_t timer;
 } kind_t;
--- a/tests/unit/follow_test.c
+++ b/tests/unit/follow_test.c
@@ -377,6 +377,32 @@
 	wait_call(fixture, MC_SOURCE_TARGETS);
 }
 
+/* While the store is lost only the map's call looks whether it is back. */
+static void test_lost_store_is_asked_once(void **state)
+{
+	fixture_t *fixture = *state;
+	reply_t targets = {
+		.kind = MC_SOURCE_TARGETS,
+		.result = { .err = MC_ERR_STORE_UNAVAILABLE },
+	};
+	reply_t map = { .kind = MC_SOURCE_MAP,
+			.result = { .err = MC_ERR_STORE_UNAVAILABLE } };
+	bool open;
+	int i;
+
+	wait_call(fixture, MC_SOURCE_TARGETS);
+	mc_shard_post(fixture->shard, run_reply, &targets);
+	for (i = 0; i < 3; i++)
+		answer(fixture, &map);
+	mc_shard_lock(fixture->shard);
+	open = the_source.calls[MC_SOURCE_TARGETS].open;
+	mc_shard_unlock(fixture->shard);
+	assert_false(open);
+	map.result = (mc_source_result_t){ .revision = 40 };
+	answer(fixture, &map);
+	assert_false(wait_call(fixture, MC_SOURCE_TARGETS).watches);
+}
+
 /* Many changes come in parts; the next part is asked for at once. */
 static void test_many_changes(void **state)
 {
@@ -418,6 +444,7 @@
 		FOLLOW_TEST(test_history_gone),
 		FOLLOW_TEST(test_map_goes_up),
 		FOLLOW_TEST(test_watches_anew),
+		FOLLOW_TEST(test_lost_store_is_asked_once),
 		FOLLOW_TEST(test_many_changes),
 	};
 
