--- a/src/follow/follow.c
+++ b/src/follow/follow.c
@@ -9,9 +9,8 @@
 #include <string.h>
 
 enum {
-	/* Tries after failures: first and longest pause, ms. */
+	/* Tries after failures: the first pause, ms. */
 	PAUSE_MIN_MS = 100,
-	PAUSE_MAX_MS = 1000,
 	PAUSE_DOUBLINGS = 4,
 };
 
@@ -68,16 +67,15 @@
 }
 
 static void go_on(mc_shard_t *shard, void *arg);
-static void announce(mc_shard_t *shard, void *arg);
 
-static mc_ms_t pause_after(mc_follow_t *follow, uint32_t failures)
+mc_ms_t follow_pause(mc_follow_t *follow, uint32_t failures)
 {
 	uint32_t doublings =
 		failures < PAUSE_DOUBLINGS ? failures : PAUSE_DOUBLINGS;
 	mc_ms_t pause = (mc_ms_t)PAUSE_MIN_MS << doublings;
 
-	if (pause > PAUSE_MAX_MS)
-		pause = PAUSE_MAX_MS;
+	if (pause > FOLLOW_PAUSE_MAX_MS)
+		pause = FOLLOW_PAUSE_MAX_MS;
 	return pause / 2 +
 	       mc_random_below(mc_shard_random(follow->params.shard),
 			       (uint32_t)pause / 2);
@@ -107,7 +105,7 @@
 		if (world)
 			follow->params.publish(follow->params.ctx, world);
 		else
-			next = now + PAUSE_MAX_MS;
+			next = now + FOLLOW_PAUSE_MAX_MS;
 	}
 	if (next != MC_MS_NEVER)
 		follow_timer(follow, next > now ? next - now : 1, publish,
@@ -193,8 +191,8 @@
 			follow_read_on(&follow->kinds[MC_SOURCE_MAP]);
 		return;
 	}
-	follow_timer(follow, pause_after(follow, kind->failures++), go_on, kind,
-		     &kind->timer);
+	follow_timer(follow, follow_pause(follow, kind->failures++), go_on,
+		     kind, &kind->timer);
 }
 
 void follow_took_changes(kind_t *kind, const mc_source_result_t *result)
@@ -324,62 +322,12 @@
 	go_on(kind->follow->params.shard, kind);
 }
 
-static mc_source_instance_t self_of(const mc_follow_t *follow)
-{
-	mc_source_instance_t self = { 0 };
-
-	snprintf(self.name, sizeof(self.name), "%s", follow->params.instance);
-	snprintf(self.data_center, sizeof(self.data_center), "%s",
-		 follow->params.data_center);
-	snprintf(self.address, sizeof(self.address), "%s",
-		 follow->params.peers ? follow->params.peers : "");
-	return self;
-}
-
-static bool is_other(const mc_follow_t *follow,
-		     const mc_source_result_t *result)
-{
-	const mc_source_instance_t self = self_of(follow);
-
-	return result->err == MC_ERR_CONFLICT && result->record_count &&
-	       (strcmp(result->records->instance.address, self.address) ||
-		strcmp(result->records->instance.data_center,
-		       self.data_center));
-}
-
-static void announced(void *ctx, const mc_source_result_t *result)
-{
-	mc_follow_t *follow = ctx;
-	mc_handle_t timer = MC_HANDLE_NONE;
-
-	follow_note_store(follow, result->err);
-	/* A former instance of this name was elsewhere. */
-	follow->replaces = is_other(follow, result);
-	if (!result->err ||
-	    (result->err == MC_ERR_CONFLICT && !follow->replaces))
-		return;
-	follow_timer(follow, pause_after(follow, follow->announce_failures++),
-		     announce, follow, &timer);
-}
-
-static void announce(mc_shard_t *shard, void *arg)
-{
-	mc_follow_t *follow = arg;
-	const mc_source_instance_t self = self_of(follow);
-	mc_handle_t timer = MC_HANDLE_NONE;
-
-	mc_count(mc_shard_counters(shard), MC_COUNTER_STORE_CALLS, 1);
-	if (follow->params.source->announce(
-		    follow->source, &self, follow->replaces, announced, follow))
-		follow_timer(follow, PAUSE_MAX_MS, announce, follow, &timer);
-}
-
 static void begin(mc_shard_t *shard, void *arg)
 {
 	mc_follow_t *follow = arg;
 	uint32_t i;
 
-	announce(shard, follow);
+	follow_announce(shard, follow);
 	for (i = 0; i < MC_SOURCE_KINDS; i++)
 		go_on(shard, &follow->kinds[i]);
 }
--- a/src/follow/follow_private.h
+++ b/src/follow/follow_private.h
@@ -10,6 +10,11 @@
 #include "mc/follow.h"
 #include "mc/news.h"
 
+enum {
+	/* The longest pause between tries after failures, ms. */
+	FOLLOW_PAUSE_MAX_MS = 1000,
+};
+
 /**
  * struct kind_t - how far a kind of records has been read
  * @follow: the follower
@@ -73,6 +78,12 @@
 void follow_list_begin(mc_follow_t *follow, mc_source_kind_t kind);
 void follow_list_end(mc_follow_t *follow, mc_source_kind_t kind);
 
+/** follow_pause() - how long to wait after so many failures in a row, ms */
+mc_ms_t follow_pause(mc_follow_t *follow, uint32_t failures);
+
+/** follow_announce() - write this instance's record; a timer's function */
+void follow_announce(mc_shard_t *shard, void *arg);
+
 /** follow_read_on() - ask the store for a kind, from where it is known */
 void follow_read_on(kind_t *kind);
 
