--- a/src/follow/announce.c
+++ b/src/follow/announce.c
@@ -54,5 +54,6 @@
 	mc_count(mc_shard_counters(shard), MC_COUNTER_STORE_CALLS, 1);
 	if (follow->params.source->announce(
 		    follow->source, &self, follow->replaces, announced, follow))
-		follow_timer(follow, FOLLOW_PAUSE_MAX_MS, follow_announce, follow, &timer);
+		follow_timer(follow, FOLLOW_PAUSE_MAX_MS, follow_announce,
+			     follow, &timer);
 }
