--- a/src/replica/health.c
+++ b/src/replica/health.c
@@ -23,7 +23,7 @@
 	/* ... but not before this, ms. */
 	OVERDUE_MIN_MS = 40,
 	/* Slowness halves in this time, ms. */
-	SLOW_HALF_LIFE_MS = 3000,
+	SLOW_HALF_LIFE_MS = 1500,
 	/* Requests that are waited for longer than this many times the usual
 	 * count as this many. */
 	SLOW_MOST = 8,
