--- a/tests/fuzz/route_fuzz.c
+++ b/tests/fuzz/route_fuzz.c
@@ -8,18 +8,18 @@
 #include <stdint.h>
 
 #include "../config_text.h"
+#include "fuzz_configs.h"
 #include "fuzz_input.h"
+#include "fuzz_owners.h"
 #include "mc/route.h"
 
 enum {
-	CONFIGS = 24,
 	CENTERS = 3,
 	SERVICES = 2,
 	MAX_SHARDS = 2,
 	MAX_REPLICAS = 5,
 	VERSIONS = 3,
 	ADDRESSES = 1 + SERVICES * MAX_SHARDS * MAX_REPLICAS,
-	MAX_GATHERS = 8,
 	MAX_EXCLUDED = 3,
 	MAX_OPEN = 8,
 	HASHES = 12,
@@ -74,7 +74,6 @@
 } question_t;
 
 static const char *const versions[VERSIONS] = { "v1", "v2", "v3" };
-static const mc_config_t *configs[CONFIGS];
 
 static void add_shard(config_text_t *text, int service, uint32_t shard,
 		      mc_random_t *random, uint32_t *address)
@@ -122,25 +121,11 @@
 	return config_text_parse(&text);
 }
 
-/* Pools are mapped, so the leak checker does not see what they hold. */
-static void free_configs(void)
-{
-	int i;
-
-	for (i = 0; i < CONFIGS; i++)
-		mc_config_unref(configs[i]);
-}
-
 int LLVMFuzzerInitialize(int *argc, char ***argv)
 {
-	int i;
-
 	(void)argc;
 	(void)argv;
-	for (i = 0; i < CONFIGS; i++)
-		configs[i] = make_config((uint64_t)i);
-	atexit(free_configs);
-	return 0;
+	return fuzz_configs_make(make_config);
 }
 
 /* Number of an address, from "10.0.0.N:9000". */
@@ -537,46 +522,6 @@
 	model->gathers[choice.gather].in_flight--;
 }
 
-/* Owners by keys, in their order. */
-static uint32_t find_owners(uint64_t target, const uint64_t *members,
-			    uint32_t count, uint64_t *keys, uint32_t max)
-{
-	uint32_t owners[MAX_GATHERS];
-	uint32_t i, found;
-
-	found = mc_route_owners(target, members, count, owners, max);
-	FUZZ_CHECK(found == (count < max ? count : max),
-		   "there are as many owners as wanted and possible");
-	for (i = 0; i < found; i++)
-		keys[i] = members[owners[i]];
-	return found;
-}
-
-static void check_owners(fuzz_input_t *input)
-{
-	uint64_t members[MAX_GATHERS], before[MAX_GATHERS], after[MAX_GATHERS];
-	uint64_t target = mc_hash_pair(fuzz_below(input, 256), 5);
-	uint32_t count = 1 + fuzz_below(input, MAX_GATHERS);
-	uint32_t max = 1 + fuzz_below(input, MAX_GATHERS);
-	uint32_t gone = fuzz_below(input, count);
-	uint32_t i, at, found;
-
-	for (i = 0; i < count; i++)
-		members[i] = mc_hash_pair(i, 6);
-	found = find_owners(target, members, count, before, max);
-	for (i = 0; i < count; i++)
-		members[i] = mc_hash_pair((i + gone) % count, 6);
-	find_owners(target, members, count, after, max);
-	FUZZ_CHECK(!memcmp(before, after, found * sizeof(*before)),
-		   "owners do not depend on the order of members");
-	/* members[0] leaves; the others keep their order. */
-	find_owners(target, members + 1, count - 1, after, max);
-	for (i = 0, at = 0; i < found; i++)
-		if (before[i] != members[0])
-			FUZZ_CHECK(after[at++] == before[i],
-				   "one member's leaving moves only its place");
-}
-
 static void run_step(model_t *model, fuzz_input_t *input)
 {
 	switch (fuzz_below(input, 16)) {
--- a/tests/fuzz/snapshot_fuzz.c
+++ b/tests/fuzz/snapshot_fuzz.c
@@ -7,11 +7,11 @@
 #include <stdint.h>
 
 #include "../config_text.h"
+#include "fuzz_configs.h"
 #include "fuzz_input.h"
 #include "mc/snapshot.h"
 
 enum {
-	CONFIGS = 24,
 	SERVICES = 2,
 	LAYOUTS = 2,
 	MAX_SHARDS = 3,
@@ -38,8 +38,6 @@
 	bool any;
 } reach_t;
 
-static const mc_config_t *configs[CONFIGS];
-
 static void add_layout(config_text_t *text, int service, int layout,
 		       mc_random_t *random, uint32_t *addresses)
 {
@@ -103,25 +101,11 @@
 	return config_text_parse(&text);
 }
 
-/* Pools are mapped, so the leak checker does not see what they hold. */
-static void free_configs(void)
-{
-	int i;
-
-	for (i = 0; i < CONFIGS; i++)
-		mc_config_unref(configs[i]);
-}
-
 int LLVMFuzzerInitialize(int *argc, char ***argv)
 {
-	int i;
-
 	(void)argc;
 	(void)argv;
-	for (i = 0; i < CONFIGS; i++)
-		configs[i] = make_config((uint64_t)i);
-	atexit(free_configs);
-	return 0;
+	return fuzz_configs_make(make_config);
 }
 
 static bool of_layout(const mc_config_t *config, mc_row_t target,
