--- a/review/1/case.c
+++ b/review/1/case.c
@@ -1,87 +1,137 @@
 /*
- * Another writer has left an entry among those of the searchers, with bytes
- * that can't be read. Then all processes of the system are killed, and start
- * again.
+ * The searchers of a service name a limit and turn requests away. Meanwhile
+ * clients of another service, whose searcher is sound, wait for answers on kept
+ * connections.
  */
 #include "harness.h"
 
+#include <unistd.h>
+
 enum {
 	TIERS = 2,
-	SEARCHERS = 3,
-	REQUESTS = 100,
-	/* Bound recoveryS, ms. */
-	RECOVERY_MS = 12000,
-	DEADLINE_MS = 1500,
+	/* Kept connections to each process. */
+	CLIENTS = 8,
+	DESK_WORK_MS = 800,
+	DEADLINE_MS = 3000,
+	RUN_MS = 20000,
+	/* So many ends of so many processes break the rule. */
+	ENDS_MIN = 3,
+	PROCESSES_MIN = 2,
+	RESTART_MS = 500,
 };
 
-/* Another writer's state, and a version whose text is U+0000 and U+0001, as
- * JSON writes them. */
-static const char foreign_entry[] =
-	"{\"backend\":\"plants\",\"address\":\"127.0.0.1:9\","
-	"\"zone\":\"a\",\"version\":\"\\u0000\\u0001\",\"slots\":4,"
-	"\"state\":\"lost\",\"warmupLeftMs\":0,\"seq\":1,"
-	"\"born\":1796000000000}";
+static tier_t *tiers[TIERS];
+static searcher_t *desk;
+static volatile bool stopping;
+static int lost, answered;
+
+/* Turns all requests away; with the disruption it also names a limit. */
+static void refuse(searcher_t *searcher, const message_t *request,
+		   answer_t *answer)
+{
+	(void)searcher;
+	(void)request;
+	answer->status = 503;
+	answer->not_run = true;
+	if (trouble())
+		snprintf(answer->headers, sizeof(answer->headers),
+			 "Server-Limit: 2\r\n");
+}
 
-/* Sends requests to all processes in turn; returns how many were served. */
-static int serve(tier_t *const *tiers, const char *when)
+/* A client of the sound service. */
+static void *run_client(void *arg)
 {
+	const tier_t *tier = arg;
+	static __thread message_t message;
 	char attempt[NAME_SIZE];
-	static message_t message;
-	int served = 0, status, i;
+	int fd = -1;
 
-	for (i = 0; i < REQUESTS; i++) {
+	while (!stopping) {
+		if (fd < 0)
+			fd = client_connect(tier->port);
+		if (fd < 0) {
+			sleep_ms(50);
+			continue;
+		}
 		attempt_new(attempt);
-		status = client_call(tiers[i % TIERS]->port, "GET", "/one/x",
-				     attempt, DEADLINE_MS, &message);
-		record("client: attempt %s at %s: status %d", attempt,
-		       tiers[i % TIERS]->name, status);
-		served += status == 200;
-		sleep_ms(20);
+		if (client_send(fd, "POST", "/desk/x", attempt, DEADLINE_MS,
+				"plant") &&
+		    client_read(fd, &message, false)) {
+			__atomic_add_fetch(&answered, 1, __ATOMIC_RELAXED);
+			continue;
+		}
+		close(fd);
+		fd = -1;
+		sleep_ms(10);
+		if (!searcher_runs(desk, attempt))
+			continue;
+		__atomic_add_fetch(&lost, 1, __ATOMIC_RELAXED);
+		record("client: attempt %s at %s was run, and its connection "
+		       "ended without an answer",
+		       attempt, tier->name);
 	}
-	record("%s: %d of %d requests served", when, served, REQUESTS);
-	return served;
+	return NULL;
 }
 
 int main(int argc, char **argv)
 {
-	static const char *const zones[TIERS] = { "a", "b" };
 	static const char *const names[TIERS] = { "front-a-1", "front-b-1" };
-	static const char *const ids[SEARCHERS] = { "i-1", "i-2", "i-3" };
-	tier_t *tiers[TIERS];
-	int before, after, i;
-	int64_t back;
-	char verdict[128];
+	static message_t message;
+	char attempt[NAME_SIZE], how[NAME_SIZE], verdict[256];
+	int ends[TIERS] = { 0 }, looping = 0, i, turn;
+	searcher_t *searcher;
+	int64_t end;
 
 	if (argc != 2)
 		return EXIT_NOT_RUN;
 	harness_init(argv[1]);
 	store_start();
 	config_put(3);
-	for (i = 0; i < SEARCHERS; i++)
-		searcher_register(
-			searcher_new("plants", ids[i], zones[i % TIERS]),
-			"ready");
+	desk = searcher_new("desk", "i-desk", "a");
+	desk->work_ms = DESK_WORK_MS;
+	desk->slots = TIERS * CLIENTS;
+	searcher_register(desk, "ready");
+	for (i = 0; i < 2; i++) {
+		searcher = searcher_new("plants", i ? "i-2" : "i-1", "a");
+		searcher->handler = refuse;
+		searcher_register(searcher, "ready");
+	}
 	for (i = 0; i < TIERS; i++)
-		tiers[i] = tier_new(names[i], zones[i]);
+		tiers[i] = tier_new(names[i], i ? "b" : "a");
 	for (i = 0; i < TIERS; i++)
 		if (!tier_wait_ready(tiers[i], 10000))
 			harness_exit(EXIT_NOT_RUN, "not ready at the start");
-	before = serve(tiers, "before the final fault");
-	if (trouble())
-		store_put("servers", "i-other", foreign_entry);
+	for (i = 0; i < TIERS * CLIENTS; i++)
+		thread_start(run_client, tiers[i % TIERS]);
 	sleep_ms(CONTACT_MS);
-	for (i = 0; i < TIERS; i++)
-		tier_kill(tiers[i]);
-	sleep_ms(2000);
-	for (i = 0; i < TIERS; i++)
+	end = now_ms() + RUN_MS;
+	for (turn = 0; now_ms() < end; turn++) {
+		i = turn % TIERS;
+		attempt_new(attempt);
+		record("client: attempt %s at %s: status %d", attempt,
+		       tiers[i]->name,
+		       client_call(tiers[i]->port, "GET", "/one/x", attempt,
+				   DEADLINE_MS, &message));
+		sleep_ms(200);
+		if (!tier_has_ended(tiers[i], how, sizeof(how)))
+			continue;
+		/* The platform starts it again. */
+		ends[i]++;
+		sleep_ms(RESTART_MS);
 		tier_start(tiers[i]);
-	back = now_ms();
-	sleep_until(back + RECOVERY_MS + 1000);
-	after = serve(tiers, "later than recoveryS after the start");
+		tier_wait_ready(tiers[i], 10000);
+		sleep_ms(DESK_WORK_MS / 2);
+	}
+	stopping = true;
+	for (i = 0; i < TIERS; i++)
+		looping += ends[i] >= ENDS_MIN;
 	snprintf(verdict, sizeof(verdict),
-		 "served before %d, after %d of %d: RECOVER %s", before, after,
-		 REQUESTS, after * 4 < REQUESTS ? "broken" : "held");
-	if (before * 4 < REQUESTS)
-		harness_exit(EXIT_NOT_RUN, "too little served before");
-	harness_exit(after * 4 < REQUESTS ? EXIT_BROKEN : EXIT_HELD, verdict);
+		 "processes ended by themselves %d and %d times: Fault %s; of "
+		 "other clients' requests %d were answered, %d lost",
+		 ends[0], ends[1], looping >= PROCESSES_MIN ? "broken" : "held",
+		 answered, lost);
+	if (!answered)
+		harness_exit(EXIT_NOT_RUN, "nothing answered");
+	harness_exit(looping >= PROCESSES_MIN ? EXIT_BROKEN : EXIT_HELD,
+		     verdict);
 }
