review: the scripts' ports don't collide when they run side by side

Cause: a port was chosen by the kernel and closed, and an outgoing connection or another script could take it before the process listened there: "Address already in use" in the processes' logs. A process that ends while it is waited for is in the record.

--- a/review/harness/harness.c
+++ b/review/harness/harness.c
@@ -25,6 +25,10 @@
 enum {
 	/* A case that has not ended after this time could not run, s. */
 	RUN_MAX_S = 115,
+	/* Ports of processes. */
+	PORT_MIN = 12000,
+	PORT_BLOCKS = 1000,
+	PORT_BLOCK_SIZE = 16,
 };
 
 static FILE *record_file;
@@ -182,12 +186,29 @@
 	return fd;
 }
 
+/* A port at which nothing listens. Cases that run side by side take theirs from
+ * different blocks, outside the range from which the kernel takes ports of
+ * outgoing connections, so that nobody takes it before the process that is to
+ * listen there has started. */
 static int free_port(void)
 {
-	int port = 0;
+	static int next;
+	struct sockaddr_in address = { .sin_family = AF_INET };
+	int first = PORT_MIN + getpid() % PORT_BLOCKS * PORT_BLOCK_SIZE;
+	bool is_free = false;
+	int fd;
 
-	close(net_listen(&port));
-	return port;
+	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	while (!is_free) {
+		if (next == PORT_BLOCK_SIZE)
+			harness_exit(EXIT_NOT_RUN, "no free port");
+		address.sin_port = htons((uint16_t)(first + next++));
+		fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+		is_free =
+			!bind(fd, (struct sockaddr *)&address, sizeof(address));
+		close(fd);
+	}
+	return ntohs(address.sin_port);
 }
 
 bool net_write(int fd, const char *data, size_t size)
@@ -440,8 +461,9 @@
 bool tier_wait_ready(tier_t *tier, int64_t ms)
 {
 	int64_t end = now_ms() + ms;
+	char how[NAME_SIZE];
 
-	while (now_ms() < end) {
+	while (now_ms() < end && !tier_has_ended(tier, how, sizeof(how))) {
 		if (is_ready(tier))
 			return true;
 		sleep_ms(50);
