tier: a part that can't be sent doesn't end its request under the caller

What callers saw: when all searchers of a service named a limit and shed requests, instances ended with SIGSEGV or SIGABRT, again and again.

Ruled out: the attempt and its connection. They are removed before request_part_failed(), and pool.c looks both up again by handle.

The same cause on related paths: request_start() dispatches the parts of a new request in a loop over them, and the retry of a part of a request to several services takes the same way; both hold the request across the call.

Change: dispatch_part() decides for its own part only, with the same check, and leaves the request to its caller, which looks at the part's state. The queue is walked by handlers of events alone (pool, timer, change of the view), which hold no request. The log line of a failed attempt is written after that decision and says whether the retry was sent, waits, or why no target could take it.

--- a/src/tier/request.c
+++ b/src/tier/request.c
@@ -44,24 +44,40 @@
 	return false;
 }
 
-/* Sends the part now, or queues it until a target of its service has capacity;
- * fails it if no target can ever take it. */
+/* Fails a part that no target can take soon; @wait: when one may, ms from now,
+ * 0 if that is unknown. */
+static void fail_part(part_t *part, mc_err_t reason, mc_ms_t wait)
+{
+	part->state = PART_FAILED;
+	part->reason = reason;
+	part->request->progress.failed++;
+	if (wait)
+		admit_set_return(part->request, wait);
+}
+
+/*
+ * Sends the part now, or queues it until a target of its service has capacity;
+ * fails it if none can take it soon. Never ends the request: that is left to
+ * the caller, which still uses the request.
+ */
 static void dispatch_part(part_t *part, bool extra)
 {
 	tier_t *tier = part->request->tier;
 	service_t *service = mc_table_get(tier->services, part->service);
+	mc_err_t reason = MC_ERR_NO_TARGET;
+	mc_ms_t wait = 0;
 
 	if (send_part(tier, part, extra))
 		return;
-	if (!service || !select_has_target(tier, part)) {
-		part->state = PART_FAILED;
-		part->reason = MC_ERR_NO_TARGET;
-		part->request->progress.failed++;
+	if (service && select_has_target(tier, part))
+		reason = admit_check_part(part, waiting_ahead(service, part),
+					  &wait);
+	if (reason) {
+		fail_part(part, reason, wait);
 		return;
 	}
 	waiting_add(service, part);
-	if (service->waiting_count == 1)
-		service_dispatch_waiting(tier, service);
+	service_schedule_dispatch(tier, service);
 }
 
 void request_part_succeeded(request_t *request, part_t *part,
@@ -107,9 +123,21 @@
 	return false;
 }
 
+/* What happens next to a part after a failed attempt, for logs. If a retry was
+ * decided but no target can take it, this is the reason for that. */
+static const char *describe_next(const part_t *part,
+				 mc_retry_decision_t decision)
+{
+	if (decision == MC_RETRY_NO)
+		return "give_up";
+	if (part->state == PART_FAILED)
+		return mc_error_name(part->reason);
+	return part->state == PART_WAITING ? "wait" : "again";
+}
+
 static void log_part_failed(const request_t *request, const part_t *part,
 			    mc_err_t reason, const mc_h1_message_t *message,
-			    const char *next)
+			    mc_retry_decision_t decision)
 {
 	const service_t *service =
 		mc_table_get(request->tier->services, part->service);
@@ -119,7 +147,8 @@
 	       "sends=%u runs=%u next=%s",
 	       request_id(request), service ? service->name : "-",
 	       mc_error_name(reason), message ? message->status : 0,
-	       part->attempts.sends, part->attempts.runs, next);
+	       part->attempts.sends, part->attempts.runs,
+	       describe_next(part, decision));
 }
 
 void request_part_failed(request_t *request, part_t *part,
@@ -140,17 +169,14 @@
 		decision = MC_RETRY_NO;
 	if (decision == MC_RETRY_BUDGETED && !withdraw_extra(part))
 		decision = MC_RETRY_NO;
-	log_part_failed(request, part, reason, message,
-			decision == MC_RETRY_NO ? "give_up" : "again");
 	if (decision != MC_RETRY_NO) {
 		mc_counter_add(mc_shard_counters(request->tier->shard),
 			       MC_COUNTER_RETRIES, 1);
 		dispatch_part(part, decision == MC_RETRY_BUDGETED);
 	} else {
-		part->state = PART_FAILED;
-		part->reason = reason;
-		request->progress.failed++;
+		fail_part(part, reason, 0);
 	}
+	log_part_failed(request, part, reason, message, decision);
 	if (part->state == PART_FAILED &&
 	    request->route->dispatch == MC_ROUTEMAP_WEIGHTED)
 		finish_failure(request, failure, reason, message, response);
@@ -161,11 +187,7 @@
 void request_part_unsendable(request_t *request, part_t *part, mc_err_t reason,
 			     mc_ms_t wait)
 {
-	part->state = PART_FAILED;
-	part->reason = reason;
-	request->progress.failed++;
-	if (wait)
-		admit_set_return(request, wait);
+	fail_part(part, reason, wait);
 	if (request->route->dispatch == MC_ROUTEMAP_WEIGHTED)
 		finish_error(request, reason);
 	else if (request_finish_if_due(request))
--- a/src/tier/send.c
+++ b/src/tier/send.c
@@ -413,9 +413,21 @@
 	service_dispatch_waiting(service->tier, service);
 }
 
-void service_dispatch_waiting(tier_t *tier, service_t *service)
+void service_schedule_dispatch(tier_t *tier, service_t *service)
 {
 	mc_ms_t at = mc_shard_now(tier->shard) + DISPATCH_RETRY_MS;
+
+	if (service->dispatch_timer.generation)
+		return;
+	if (mc_timer_set(tier->shard, at, on_dispatch_timer, service,
+			 &service->dispatch_timer))
+		mc_log(tier->log, MC_LOG_ERROR, "tier",
+		       "waiting parts not rescheduled: timer failed: %s",
+		       mc_last_error_message());
+}
+
+void service_dispatch_waiting(tier_t *tier, service_t *service)
+{
 	part_t *part;
 	uint32_t priority;
 	mc_ms_t wait;
@@ -433,10 +445,6 @@
 							err, wait);
 		}
 	}
-	if (service->waiting_count && !service->dispatch_timer.generation &&
-	    mc_timer_set(tier->shard, at, on_dispatch_timer, service,
-			 &service->dispatch_timer))
-		mc_log(tier->log, MC_LOG_ERROR, "tier",
-		       "waiting parts not rescheduled: timer failed: %s",
-		       mc_last_error_message());
+	if (service->waiting_count)
+		service_schedule_dispatch(tier, service);
 }
--- a/src/tier/tier_private.h
+++ b/src/tier/tier_private.h
@@ -444,10 +444,18 @@
  * @was_sent: some bytes of the request were sent */
 void send_on_connection_lost(tier_t *tier, attempt_t *attempt, bool was_sent);
 
-/** service_dispatch_waiting() - Send waiting parts while targets have capacity
+/**
+ * service_dispatch_waiting() - Send waiting parts while targets have capacity
+ *
+ * Parts that no target can take soon fail, which may end any request with a
+ * part in the queue. For handlers of events only, which hold no request.
  */
 void service_dispatch_waiting(tier_t *tier, service_t *service);
 
+/** service_schedule_dispatch() - Call service_dispatch_waiting() soon from a
+ * timer */
+void service_schedule_dispatch(tier_t *tier, service_t *service);
+
 /* request.c: life cycle of a request */
 
 /** request_begin() - Start a request that has been received completely */
@@ -458,7 +466,8 @@
  */
 void request_caller_gone(tier_t *tier, mc_handle_t caller);
 
-/** request_part_succeeded() - Handle a target's successful response to @part */
+/** request_part_succeeded() - Handle a target's successful response to @part;
+ * may end the request */
 void request_part_succeeded(request_t *request, part_t *part,
 			    const mc_h1_message_t *message,
 			    const mc_tier_response_info_t *response);
@@ -469,6 +478,8 @@
  * @reason: error kind of the failure
  * @message: the target's response, or NULL
  * @response: metadata of @message, or NULL
+ *
+ * May end the request.
  */
 void request_part_failed(request_t *request, part_t *part,
 			 mc_retry_failure_t failure, mc_err_t reason,
@@ -479,6 +490,8 @@
  * request_part_unsendable() - Fail a part that has waited in vain
  * @reason: why it can't be sent soon
  * @wait: when it may be possible, ms from now; 0 if unknown
+ *
+ * May end the request.
  */
 void request_part_unsendable(request_t *request, part_t *part, mc_err_t reason,
 			     mc_ms_t wait);
--- a/tests/system/limit_test.c
+++ b/tests/system/limit_test.c
@@ -30,6 +30,9 @@
 	/* A refusal that comes later than this has waited in vain, ms. */
 	REFUSAL_MS = 200,
 	CALLERS = 8,
+	/* More requests than a test sends in SHED_RUN_MS. */
+	SHED_MAX = 1 << 20,
+	SHED_RUN_MS = 3000,
 };
 
 static const double limit_factor = 1.5;
@@ -56,7 +59,7 @@
 
 /* Outcomes of the requests of one test. */
 typedef struct {
-	uint32_t sent, served, refused, failed, refused_late;
+	uint32_t sent, served, refused, failed, refused_late, unanswered;
 	mc_ms_t slowest_refusal;
 	/* Distinct times to come back, and the requests that named one. */
 	uint32_t waits, wait_changes;
@@ -78,6 +81,7 @@
 		outcomes->refused++;
 	else
 		outcomes->failed++;
+	outcomes->unanswered += !answer.status;
 	if (answer.status == 503 &&
 	    now_ms() - start > outcomes->slowest_refusal)
 		outcomes->slowest_refusal = now_ms() - start;
@@ -241,6 +245,63 @@
 		check_limit(site->single_replicas[i], told, 6);
 }
 
+static void set_shedding(searcher_t *searcher)
+{
+	searcher_set_header(searcher, "Server-Limit", "2");
+	searcher_set_fault(searcher, SEARCHER_FAULT_SHED, SHED_MAX);
+}
+
+/* Each request has one answer, at once, and no instance has ended. */
+static outcomes_t check_answers(site_t *site, const char *path)
+{
+	outcomes_t outcomes = send_for(site, path, SHED_RUN_MS);
+	uint32_t i;
+
+	print_message("sent %u served %u refused %u (late %u) failed %u "
+		      "(no answer %u)\n",
+		      outcomes.sent, outcomes.served, outcomes.refused,
+		      outcomes.refused_late, outcomes.failed,
+		      outcomes.unanswered);
+	for (i = 0; i < INSTANCES; i++)
+		assert_true(harness_is_running(site->harness,
+					       site->instances[i].process));
+	assert_int_equal(outcomes.unanswered, 0);
+	assert_int_equal(outcomes.served, 0);
+	assert_int_equal(outcomes.refused_late, 0);
+	return outcomes;
+}
+
+/*
+ * All searchers of a service name a limit and shed requests. The retry of a
+ * request has its turn too late, which fails the request while its failed
+ * attempt is being handled: it must not be ended a second time after that.
+ */
+static void test_retry_has_no_turn(void **state)
+{
+	site_t *site = *state;
+	outcomes_t outcomes;
+	int i;
+
+	for (i = 0; i < SITE_SINGLE_REPLICAS; i++)
+		set_shedding(site->single_replicas[i]);
+	outcomes = check_answers(site, "/one/x");
+	assert_int_equal(outcomes.refused, outcomes.sent);
+	assert_int_equal(outcomes.waits, outcomes.sent);
+}
+
+/* The same for a part of a request to several services, which then can't reach
+ * its least share; the parts of other services may have run. */
+static void test_retry_of_part_has_no_turn(void **state)
+{
+	site_t *site = *state;
+	int i, j;
+
+	for (i = 0; i < SITE_SHARDS / 2; i++)
+		for (j = 0; j < SITE_REPLICAS; j++)
+			set_shedding(site->shards[i][j]);
+	check_answers(site, "/all/x");
+}
+
 /* What one of several callers saw. */
 typedef struct {
 	site_t *site;
@@ -305,6 +366,10 @@
 			test_limit_shrinks_while_waiting, set_up, tear_down),
 		cmocka_unit_test_setup_teardown(test_instance_starts_again,
 						set_up, tear_down),
+		cmocka_unit_test_setup_teardown(test_retry_has_no_turn, set_up,
+						tear_down),
+		cmocka_unit_test_setup_teardown(test_retry_of_part_has_no_turn,
+						set_up, tear_down),
 	};
 
 	if (argc > 1) {
