tier: a request ends once, and its memory stays until the end of the turn

Cause: the fault before this one was possible because each function had to know which calls might free the request that it works on; nothing held the rule but care. Two more places depend on it, by reading only, no run shows a fault there: finish_forward() and finish_merge() answer before they free, and the answer may start the caller's next request, which then finds the answered one in the queues and, by the caller's handle, in the table.

Change: a finish_ function marks the request as ended, cancels its work, answers, and leaves the memory to a deferred call at the end of the shard's turn.

--- a/src/tier/finish.c
+++ b/src/tier/finish.c
@@ -1,5 +1,8 @@
 /*
- * Ends a request: logs it, updates the metrics, and responds to its caller.
+ * Ends a request: logs it, updates the metrics, and responds to its caller. A
+ * request ends once. It is taken apart before its caller gets the response, as
+ * that may start the caller's next request, and its memory is freed at the end
+ * of the shard's turn, so that functions up the stack may still hold it.
  */
 #include "finish.h"
 
@@ -23,7 +26,17 @@
 		waiting_remove(service, part);
 }
 
-static void request_free(request_t *request)
+/* Marks the end of a request; false if it has ended before. */
+static bool begin_end(request_t *request)
+{
+	if (request->has_ended)
+		return false;
+	request->has_ended = true;
+	return true;
+}
+
+/* Cancels a request's attempts and takes its parts out of the queues. */
+static void cancel_work(request_t *request)
 {
 	tier_t *tier = request->tier;
 	attempt_t *attempt;
@@ -34,6 +47,12 @@
 	for (i = 0; i < request->part_count; i++)
 		dequeue_part(&request->parts[i]);
 	mc_timer_cancel(tier->shard, request->timer);
+}
+
+static void request_free(request_t *request)
+{
+	tier_t *tier = request->tier;
+
 	mc_records_free(&request->records);
 	free(request->signatures);
 	free(request->latencies);
@@ -43,6 +62,32 @@
 	mc_table_remove(tier->requests, request->handle);
 }
 
+static void free_ended(mc_shard_t *shard, void *arg)
+{
+	tier_t *tier = arg;
+	request_t *request;
+
+	(void)shard;
+	while ((request = TAILQ_FIRST(&tier->ended))) {
+		TAILQ_REMOVE(&tier->ended, request, ended_entry);
+		request_free(request);
+	}
+}
+
+/* Cancels the work for a request and lets its memory go at the end of the turn.
+ */
+static void close_request(request_t *request)
+{
+	tier_t *tier = request->tier;
+	bool is_first = TAILQ_EMPTY(&tier->ended);
+
+	cancel_work(request);
+	TAILQ_INSERT_TAIL(&tier->ended, request, ended_entry);
+	if (is_first && mc_shard_defer(tier->shard, free_ended, tier))
+		mc_log(tier->log, MC_LOG_ERROR, "tier",
+		       "ended requests not freed: %s", mc_last_error_message());
+}
+
 void requests_free(tier_t *tier)
 {
 	uint32_t cursor = 0;
@@ -50,8 +95,11 @@
 	request_t *request;
 
 	while (tier->requests &&
-	       (request = mc_table_next(tier->requests, &cursor, &handle)))
+	       (request = mc_table_next(tier->requests, &cursor, &handle))) {
+		if (begin_end(request))
+			cancel_work(request);
 		request_free(request);
+	}
 }
 
 /* Logs one line per request. Complete successes are logged at debug level, as
@@ -110,27 +158,28 @@
 
 void finish_error(request_t *request, mc_err_t reason)
 {
-	tier_t *tier = request->tier;
-	mc_handle_t caller = request->caller;
-	mc_ms_t retry_after = request->retry_after;
-
+	if (!begin_end(request))
+		return;
 	reason = mc_error_for_outcome(reason, request_may_have_run(request));
 	log_outcome(request, mc_error_name(reason));
 	count_outcome(request, mc_error_response(reason)->not_run
 				       ? METRICS_REFUSED
 				       : METRICS_UNKNOWN);
-	request_free(request);
-	reply_error(tier, caller, reason, retry_after);
+	close_request(request);
+	reply_error(request->tier, request->caller, reason,
+		    request->retry_after);
 }
 
 void finish_forward(request_t *request, const mc_h1_message_t *message,
 		    bool success)
 {
+	if (!begin_end(request))
+		return;
 	log_outcome(request, success ? "ok" : "target_status");
 	count_outcome(request,
 		      success ? METRICS_COMPLETE : METRICS_FAILED_BY_TARGET);
+	close_request(request);
 	reply_forward(request, message);
-	request_free(request);
 }
 
 /* Records by how much an incomplete response due at the goal was late. */
@@ -147,15 +196,17 @@
 
 void finish_merge(request_t *request)
 {
+	if (!begin_end(request))
+		return;
 	log_outcome(request, "ok");
 	timing_record_parts(request);
 	count_outcome(request,
 		      request->progress.received < request->progress.total
 			      ? METRICS_PARTIAL
 			      : METRICS_COMPLETE);
+	close_request(request);
 	reply_merge(request);
 	record_lateness(request);
-	request_free(request);
 }
 
 /* The target's response is forwarded if it is signed and its status is neither
@@ -177,9 +228,11 @@
 
 void finish_caller_gone(request_t *request)
 {
+	if (!begin_end(request))
+		return;
 	mc_counter_add(mc_shard_counters(request->tier->shard),
 		       MC_COUNTER_CALLERS_GONE, 1);
 	log_outcome(request, "caller_gone");
 	count_outcome(request, METRICS_CALLER_GONE);
-	request_free(request);
+	close_request(request);
 }
--- a/src/tier/finish.h
+++ b/src/tier/finish.h
@@ -1,6 +1,7 @@
 /*
- * Functions that end a request. Each finish_ function frees the request and
- * cancels its attempts.
+ * Functions that end a request. Each finish_ function cancels its attempts and
+ * has no effect on a request that has ended before. The request and its parts
+ * stay readable until the end of the shard's turn.
  */
 #ifndef MC_TIER_FINISH_H
 #define MC_TIER_FINISH_H
--- a/src/tier/request.c
+++ b/src/tier/request.c
@@ -24,6 +24,8 @@
 	mc_err_t reason =
 		past_deadline ? MC_ERR_DEADLINE_EXCEEDED : MC_ERR_TARGET_FAILED;
 
+	if (request->has_ended)
+		return false;
 	if (request->route->dispatch == MC_ROUTEMAP_WEIGHTED) {
 		if (!past_deadline)
 			return true;
@@ -338,7 +340,8 @@
 	request_t *request;
 
 	while ((request = mc_table_next(tier->requests, &cursor, &handle))) {
-		if (!mc_handle_equal(request->caller, caller))
+		if (request->has_ended ||
+		    !mc_handle_equal(request->caller, caller))
 			continue;
 		finish_caller_gone(request);
 		return;
--- a/src/tier/tier.c
+++ b/src/tier/tier.c
@@ -78,6 +78,7 @@
 	if (apr_pool_create(&tier->pool, NULL))
 		return mc_fail(MC_ERR_NO_MEMORY,
 			       "out of memory for the shard's APR pool");
+	TAILQ_INIT(&tier->ended);
 	tier->service_names = apr_hash_make(tier->pool);
 	tier->target_ids = apr_hash_make(tier->pool);
 	tier->route_stats = apr_hash_make(tier->pool);
--- a/src/tier/tier_private.h
+++ b/src/tier/tier_private.h
@@ -52,6 +52,7 @@
 TAILQ_HEAD(wait_queue_t, part_t);
 TAILQ_HEAD(conn_list_t, conn_t);
 TAILQ_HEAD(attempt_list_t, attempt_t);
+TAILQ_HEAD(request_list_t, request_t);
 
 /*
  * Statistics of the requests of one route, by its name. The latencies are those
@@ -268,6 +269,9 @@
 	mc_ms_t goal_at;
 	mc_ms_t deadline;
 	mc_handle_t timer;
+	/* Its response has been chosen; nothing changes it any more. */
+	bool has_ended;
+	TAILQ_ENTRY(request_t) ended_entry;
 	bool idempotent;
 	/* When a refused caller may come back, ms from then; 0 for the time of
 	 * the error kind. */
@@ -343,6 +347,8 @@
 	mc_table_t *conns;
 	mc_table_t *attempts;
 	mc_table_t *requests;
+	/* Requests that have ended in this turn and are freed at its end. */
+	struct request_list_t ended;
 	/* Targets that have said that they leave. */
 	mc_table_t *departures;
 	apr_pool_t *pool;
@@ -497,7 +503,7 @@
 			     mc_ms_t wait);
 
 /** request_finish_if_due() - End the request if that is due; false if it has
- * ended */
+ * ended, now or before */
 bool request_finish_if_due(request_t *request);
 
 /* finish.c: how requests end; its other functions are in finish.h */
