base: a fatal signal is logged, after the lines that were still queued

They wait in a queue for the writer thread, which ends with the process, and no line named the signal. An on-call engineer has only logs and metrics.

Change: a handler of fatal signals writes the queued lines, one that names the signal and the address, and the stack; the process still ends by the signal. It takes no lock and calls only functions that are safe there.

--- a/src/base/include/mc/base.h
+++ b/src/base/include/mc/base.h
@@ -1,12 +1,14 @@
 /*
  * Public header of the base library, which all other libraries use. Its only
- * global state is the last error message of each thread.
+ * global state is the last error message of each thread, and the log of the
+ * handler of fatal signals.
  */
 #ifndef MC_BASE_H
 #define MC_BASE_H
 
 #include "mc/base/clock.h"
 #include "mc/base/counter.h"
+#include "mc/base/crash.h"
 #include "mc/base/error.h"
 #include "mc/base/hash.h"
 #include "mc/base/log.h"
--- a/src/base/include/mc/base/log.h
+++ b/src/base/include/mc/base/log.h
@@ -92,6 +92,17 @@
 		  const char *format, ...)
 	__attribute__((format(printf, 4, 5)));
 
+/**
+ * mc_log_write_crash() - Write the queued lines and a last one
+ * @log: the log; may be NULL
+ * @line: the last line, complete
+ * @size: bytes of @line
+ *
+ * For handlers of fatal signals only: it takes no lock, so that a line may be
+ * written twice or be torn if other threads log meanwhile.
+ */
+void mc_log_write_crash(mc_log_t *log, const char *line, size_t size);
+
 /*
  * Checks the level before it evaluates the arguments, so that a disabled line
  * costs only one comparison.
--- a/src/base/log.c
+++ b/src/base/log.c
@@ -317,3 +317,18 @@
 	add_line(log, &line);
 	pthread_mutex_unlock(&log->lock);
 }
+
+void mc_log_write_crash(mc_log_t *log, const char *line, size_t size)
+{
+	uint32_t i;
+
+	if (!log)
+		return;
+	for (i = 0; i < log->count && i < QUEUE_LINES; i++) {
+		const line_t *queued =
+			&log->lines[(log->head + i) % QUEUE_LINES];
+
+		log->sink.write(log->sink.ctx, queued->text, queued->size);
+	}
+	log->sink.write(log->sink.ctx, line, size);
+}
--- a/src/main/run_role.c
+++ b/src/main/run_role.c
@@ -78,7 +78,9 @@
 		return status;
 	}
 	log = mc_log_create(mc_log_sink_stdout(), settings->log_level);
+	mc_crash_log_to(log);
 	status = command->run(path, settings, log);
+	mc_crash_log_to(NULL);
 	mc_log_destroy(log);
 	free(settings);
 	return status;
--- a/tests/system/stop_test.c
+++ b/tests/system/stop_test.c
@@ -1,13 +1,16 @@
 /*
  * System tests of a planned stop: a request that has arrived when the instance
  * stops accepting connections is answered, whether its connection was used
- * before, waits to be accepted, or was just accepted.
+ * before, waits to be accepted, or was just accepted. A stop that nobody
+ * planned is explained by the log.
  */
 #include <setjmp.h>
 #include <signal.h>
 #include <stdarg.h>
 #include <stddef.h>
 #include <errno.h>
+#include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -21,6 +24,8 @@
 	NOTICE_MS = 1000,
 	/* Longer than NOTICE_MS, shorter than SITE_GRACE_MS, ms. */
 	PAUSE_MS = 1300,
+	LOG_SIZE = 1 << 20,
+	LOG_PATH_SIZE = 512,
 };
 
 static const char request[] = "GET /one/x HTTP/1.1\r\nHost: site.example\r\n"
@@ -157,6 +162,39 @@
 		harness_stop(site->harness, site->instances[0].process, 0), 0);
 }
 
+static void read_log(const site_t *site, char *text, size_t size)
+{
+	char path[LOG_PATH_SIZE];
+	size_t used;
+	FILE *file;
+
+	snprintf(path, sizeof(path), "%s/tier-0.log",
+		 harness_output_dir(site->harness));
+	file = fopen(path, "r");
+	assert_non_null(file);
+	used = fread(text, 1, size - 1, file);
+	text[used] = '\0';
+	fclose(file);
+}
+
+/*
+ * A process that ends by a fault has only its log to explain it: the log names
+ * the signal, and the platform learns of the signal too.
+ */
+static void test_fatal_signal_is_logged(void **state)
+{
+	site_t *site = *state;
+	char *text = calloc(1, LOG_SIZE);
+	int status = harness_stop(site->harness, site->instances[0].process,
+				  SIGSEGV);
+
+	read_log(site, text, LOG_SIZE);
+	assert_int_equal(status, -SIGSEGV);
+	assert_non_null(strstr(text, "process ended by a signal"));
+	assert_non_null(strstr(text, " signal=SIGSEGV "));
+	free(text);
+}
+
 #define STOP_TEST(test) cmocka_unit_test_setup_teardown(test, set_up, tear_down)
 
 int main(int argc, char **argv)
@@ -164,6 +202,7 @@
 	const struct CMUnitTest tests[] = {
 		STOP_TEST(test_answers_accepted_requests),
 		STOP_TEST(test_answers_first_request),
+		STOP_TEST(test_fatal_signal_is_logged),
 	};
 
 	if (argc > 1) {
