discovery: an instance that starts doesn't wait for the next change of a target

What operators saw: an instance that started beside others reported ready 15 s late, once in a while. With the platform's watch of up to 30 s it is as long there.

Cause, from a trace of the calls of a slow start (scratch copy): the list of targets has two pages. The first was read at revision 24; the list of orders came at 25, which became the revision that all lists must have reached; the second page came at 25 and ended the list, whose revision is that of its first page. The next call was a watch since 24. It brings what is missing only if a target changes; else it ends after 15 s, and until then no view is published. The more targets and the more instances that start, the more often.

Ruled out: the store's answers (all within 1 ms), the order of calls, a lost wake-up of the publication (the last result before the gap published nothing, as the list predated the start).

Change: a list in use that ends with a revision from before the start is read again at once. The predicate stands once, for this and for the publication.

--- a/src/discovery/discovery.c
+++ b/src/discovery/discovery.c
@@ -47,21 +47,15 @@
  */
 static bool may_publish(const mc_discovery_t *discovery)
 {
-	static const mc_source_kind_t kinds[] = { MC_SOURCE_ROUTEMAP,
-						  MC_SOURCE_TARGETS,
-						  MC_SOURCE_DATA_CENTERS_OUT };
 	uint32_t i;
 
 	if (!discovery->syncs[MC_SOURCE_ROLLOUTS].listed_once ||
 	    !discovery->syncs[MC_SOURCE_DATA_CENTERS_OUT].listed_once)
 		return false;
-	for (i = 0; i < MC_ARRAY_LEN(kinds); i++) {
-		const kind_sync_t *sync = &discovery->syncs[kinds[i]];
-
-		if (sync->listed_once &&
-		    sync->state.revision < discovery->start_revision)
+	for (i = 0; i < MC_SOURCE_KIND_COUNT; i++)
+		if (discovery->syncs[i].listed_once &&
+		    discovery_predates_start(&discovery->syncs[i]))
 			return false;
-	}
 	return true;
 }
 
--- a/src/discovery/discovery_private.h
+++ b/src/discovery/discovery_private.h
@@ -151,6 +151,11 @@
 /** discovery_relay_state() - Whether an upstream relays changes, or may soon */
 mc_read_relay_t discovery_relay_state(const mc_discovery_t *discovery);
 
+/** discovery_predates_start() - Whether a kind's records are from before this
+ * instance's start and may thus not be used: the route map, the targets and the
+ * data centres that are out of service */
+bool discovery_predates_start(const kind_sync_t *sync);
+
 /** discovery_is_following() - Whether changes after the known revision can be
  * applied to a kind's records */
 bool discovery_is_following(const kind_sync_t *sync);
--- a/src/discovery/sync.c
+++ b/src/discovery/sync.c
@@ -177,6 +177,12 @@
 		peers_send_changes(sync, since, result->raw);
 }
 
+bool discovery_predates_start(const kind_sync_t *sync)
+{
+	return sync->kind <= MC_SOURCE_DATA_CENTERS_OUT &&
+	       sync->state.revision < sync->discovery->start_revision;
+}
+
 /* Lists of the kinds in use that are older than this instance's start are not
  * used; see may_publish(). */
 static void set_start_revision(mc_discovery_t *discovery, uint64_t revision)
@@ -184,8 +190,8 @@
 	uint32_t i;
 
 	discovery->start_revision = revision;
-	for (i = 0; i <= MC_SOURCE_DATA_CENTERS_OUT; i++)
-		if (discovery->syncs[i].state.revision < revision)
+	for (i = 0; i < MC_SOURCE_KIND_COUNT; i++)
+		if (discovery_predates_start(&discovery->syncs[i]))
 			discovery_relist(&discovery->syncs[i], revision);
 }
 
@@ -221,6 +227,10 @@
 	sync->list_after[0] = '\0';
 	if (first && sync->kind == MC_SOURCE_ROLLOUTS)
 		set_start_revision(discovery, sync->state.revision);
+	/* The first page was read before the start. A watch would only bring
+	 * the next change, however long that takes. */
+	if (discovery_predates_start(sync))
+		discovery_relist(sync, discovery->start_revision);
 	if (sync->kind != MC_SOURCE_INSTANCES)
 		return;
 	/* A list without this instance is from before its start, and lacks
--- a/tests/unit/discovery_test.c
+++ b/tests/unit/discovery_test.c
@@ -625,6 +625,38 @@
 	assert_int_equal(wait_view(fixture), 0);
 }
 
+/*
+ * The first page of a list was read before the start of this instance and its
+ * last page after it. A watch from the first page's revision would wait for the
+ * next change of a target, which may take as long as the watch may wait, and no
+ * view is published until then: the list must be read again.
+ */
+static void test_first_page_from_before_the_start(void **state)
+{
+	fixture_t *fixture = *state;
+	mc_source_record_t a = target_record("a"), b = target_record("b");
+	reply_t reply = {
+		.kind = MC_SOURCE_TARGETS,
+		.result = { .revision = 39,
+			    .has_more = true,
+			    .record_count = 1,
+			    .records = &a },
+	};
+
+	complete_data_centers_out(fixture);
+	complete(fixture, &reply);
+	complete_orders(fixture);
+	reply.result = (mc_source_result_t){ .revision = 41,
+					     .record_count = 1,
+					     .records = &b };
+	complete(fixture, &reply);
+	assert_false(wait_call(fixture, MC_SOURCE_TARGETS).is_watch);
+	assert_string_equal(wait_call(fixture, MC_SOURCE_TARGETS).after, "");
+	complete(fixture, &reply);
+	assert_int_equal(wait_call(fixture, MC_SOURCE_TARGETS).since, 41);
+	assert_int_equal(wait_view(fixture), 1);
+}
+
 static bool has_unconfirmed(const fixture_t *fixture)
 {
 	const mc_registry_view_t *view = fixture->view;
@@ -816,6 +848,7 @@
 		DISCOVERY_TEST(test_unavailable_store_polled_by_one_kind),
 		DISCOVERY_TEST(test_no_view_before_orders),
 		DISCOVERY_TEST(test_list_from_before_the_start),
+		DISCOVERY_TEST(test_first_page_from_before_the_start),
 		ORDERS_TEST(test_new_version_waits_for_orders),
 		cmocka_unit_test_setup_teardown(
 			test_drain_while_upstream_is_expected,
