h1: trailer fields are no header fields, and bring no bytes of other messages

Cause: http_parser reports trailer fields by the callbacks of header fields. The parser ends each value where the next name or the body begins, which for the last trailer never comes: its text went on with what an earlier message had left in the buffer.

Change: fields after the head are dropped (RFC 9110, 6.5.1), in both directions; they count for the limit of the head.

--- a/src/h1/parse.c
+++ b/src/h1/parse.c
@@ -43,6 +43,16 @@
 		       : CALLBACK_CONTINUE;
 }
 
+/* Trailer fields are dropped: they are no header fields (RFC 9110, 6.5.1), and
+ * nobody here uses them. They count for the limit of the head. */
+static int skip_trailer(h1_parser_t *parser, size_t size)
+{
+	parser->head_size += size;
+	return parser->head_size > parser->head_max
+		       ? fail_message(parser, STATUS_HEAD_TOO_LARGE)
+		       : CALLBACK_CONTINUE;
+}
+
 static int on_uri(http_parser *http, const char *data, size_t size)
 {
 	return append_text(http->data, data, size);
@@ -57,6 +67,8 @@
 	h1_parser_t *parser = http->data;
 	h1_header_offsets_t *offsets;
 
+	if (parser->head_complete)
+		return skip_trailer(parser, size);
 	if (parser->in_value || !parser->header_count) {
 		if (terminate_text(parser))
 			return CALLBACK_ABORT;
@@ -74,6 +86,8 @@
 {
 	h1_parser_t *parser = http->data;
 
+	if (parser->head_complete)
+		return skip_trailer(parser, size);
 	if (!parser->in_value) {
 		if (terminate_text(parser))
 			return CALLBACK_ABORT;
--- a/tests/unit/h1_test.c
+++ b/tests/unit/h1_test.c
@@ -40,6 +40,7 @@
 	mc_handle_t held_connection;
 	char last_request[256];
 	char last_body[256];
+	char last_headers[1024];
 	/* Client side. */
 	mc_handle_t connection;
 	uint32_t connected;
@@ -51,6 +52,21 @@
 	char last_response[256];
 } fixture_t;
 
+/* Stores the header lines of the last message of either side, each followed by
+ * a semicolon. */
+static void record_headers(fixture_t *fixture, const mc_h1_message_t *message)
+{
+	size_t used = 0;
+	uint32_t i;
+
+	fixture->last_headers[0] = '\0';
+	for (i = 0; i < message->header_count; i++)
+		used += (size_t)snprintf(fixture->last_headers + used,
+					 sizeof(fixture->last_headers) - used,
+					 "%s: %s;", message->headers[i].name,
+					 message->headers[i].value);
+}
+
 static void on_request(void *ctx, mc_handle_t connection,
 		       const mc_h1_message_t *message, mc_ms_t first_byte)
 {
@@ -65,6 +81,7 @@
 		 message->method, message->uri);
 	snprintf(fixture->last_body, sizeof(fixture->last_body), "%.*s",
 		 (int)message->body_size, message->body);
+	record_headers(fixture, message);
 	fixture->held_connection = connection;
 	if (!fixture->hold_responses)
 		mc_h1_respond(fixture->h1, connection, &response);
@@ -93,6 +110,7 @@
 
 	fixture->responses++;
 	fixture->last_message = *message;
+	record_headers(fixture, message);
 	snprintf(fixture->last_response, sizeof(fixture->last_response), "%.*s",
 		 (int)message->body_size, message->body);
 	if (fixture->await_first && fixture->responses == 1)
@@ -301,6 +319,54 @@
 	close(fd);
 }
 
+/*
+ * Fields after the last chunk are no header fields of the message. The buffer
+ * still holds what an earlier message of the connection left there, and a field
+ * without an end would go on with it.
+ */
+static void test_trailers_of_requests(void **state)
+{
+	fixture_t *fixture = *state;
+	char text[TEXT_SIZE];
+	int fd = connect_to(fixture->port);
+
+	send_text(fd, "GET /a HTTP/1.1\r\nHost: h\r\n"
+		      "X-Account: 0123456789-0123456789-0123456789\r\n\r\n"
+		      "POST /b HTTP/1.1\r\nHost: h\r\n"
+		      "Transfer-Encoding: chunked\r\n\r\n"
+		      "3\r\nabc\r\n0\r\nX-Check: 9f2a\r\nHost: other\r\n\r\n"
+		      "GET /c HTTP/1.1\r\nHost: h\r\n\r\n");
+	read_until(fd, text, "done", 3);
+	assert_string_equal(fixture->last_request, "GET /c");
+	assert_string_equal(fixture->last_headers, "Host: h;");
+	send_text(fd, "POST /b HTTP/1.1\r\nHost: h\r\n"
+		      "Transfer-Encoding: chunked\r\n\r\n"
+		      "3\r\nabc\r\n0\r\nX-Check: 9f2a\r\n\r\n");
+	read_until(fd, text, "done", 1);
+	assert_string_equal(fixture->last_headers,
+			    "Host: h;Transfer-Encoding: chunked;");
+	assert_string_equal(fixture->last_body, "abc");
+	close(fd);
+}
+
+/* Trailer fields without end count for the limit of the head. */
+static void test_rejects_large_trailers(void **state)
+{
+	fixture_t *fixture = *state;
+	char text[TEXT_SIZE];
+	int fd = connect_to(fixture->port);
+
+	memset(text, 'a', HEAD_BYTES + 1);
+	text[HEAD_BYTES + 1] = '\0';
+	send_text(fd, "POST /b HTTP/1.1\r\nHost: h\r\n"
+		      "Transfer-Encoding: chunked\r\n\r\n0\r\nX-Check: ");
+	send_text(fd, text);
+	read_until(fd, text, NULL, 0);
+	assert_non_null(strstr(text, "431"));
+	assert_int_equal(fixture->requests, 0);
+	close(fd);
+}
+
 /* A disconnect while a request is handled is reported. */
 static void test_reports_disconnect(void **state)
 {
@@ -439,6 +505,29 @@
 	close(listener);
 }
 
+/* The same as test_trailers_of_requests, for responses. */
+static void test_trailers_of_responses(void **state)
+{
+	fixture_t *fixture = *state;
+	char text[TEXT_SIZE];
+	uint16_t port;
+	int listener = raw_server(&port);
+	int fd;
+
+	open_and_send(fixture, port);
+	fd = raw_accept(listener);
+	read_until(fd, text, "\r\n\r\n", 1);
+	send_text(fd, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+		      "3\r\nabc\r\n0\r\nX-Check: 9f2a\r\n\r\n");
+	wait_for(fixture, &fixture->responses, 1);
+	assert_string_equal(fixture->last_headers,
+			    "Transfer-Encoding: chunked;");
+	assert_string_equal(fixture->last_response, "abc");
+	assert_true(fixture->last_message.keep_alive);
+	close(fd);
+	close(listener);
+}
+
 /* A reset within a response without a length is not taken for its end. */
 static void test_client_reset(void **state)
 {
@@ -482,10 +571,13 @@
 		H1_TEST(test_pipelined_requests),
 		H1_TEST(test_rejects_invalid),
 		H1_TEST(test_rejects_large_head),
+		H1_TEST(test_trailers_of_requests),
+		H1_TEST(test_rejects_large_trailers),
 		H1_TEST(test_reports_disconnect),
 		H1_TEST(test_draining),
 		H1_TEST(test_client_responses),
 		H1_TEST(test_client_awaits_next_response),
+		H1_TEST(test_trailers_of_responses),
 		H1_TEST(test_client_reset),
 		H1_TEST(test_client_refused),
 	};
