h1: the response to a HEAD request has no body

Cause: write_response() didn't know the method of the request.

Change: the server side keeps it with the request that it has delivered (one at a time, so that pipelined requests can't be mixed up) and sends the head alone, with the length of what it leaves out. A forwarded answer has the length that its target announced, or none; before, it said 0. CONNECT, whose tunnel can't be carried, gets 501 and a closed connection: the bytes after it were taken for requests.

--- a/src/h1/include/mc/h1.h
+++ b/src/h1/include/mc/h1.h
@@ -24,6 +24,9 @@
 	MC_H1_CONNECTIONS_MAX = 16384,
 };
 
+/** MC_H1_SIZE_UNKNOWN - Size of a body that was not announced */
+#define MC_H1_SIZE_UNKNOWN SIZE_MAX
+
 /** struct mc_h1_header_t - A header line; both strings end with zero */
 typedef struct mc_h1_header_t {
 	const char *name;
@@ -39,6 +42,8 @@
  * @headers: header lines in the order of the message
  * @body: decoded body; not zero-terminated
  * @body_size: bytes of @body
+ * @omitted_size: for the response to a HEAD request, which has no body: bytes
+ *of the body that it leaves out, or MC_H1_SIZE_UNKNOWN
  * @keep_alive: the connection can be used again after this message
  * @trailing_data: further bytes have arrived after a response
  * @round_trip: round-trip time of a request's connection as measured by the
@@ -53,6 +58,7 @@
 	const mc_h1_header_t *headers;
 	const char *body;
 	size_t body_size;
+	size_t omitted_size;
 	bool keep_alive;
 	bool trailing_data;
 	mc_ms_t round_trip;
@@ -168,8 +174,9 @@
  * struct mc_h1_response_t - A response to send
  * @status: HTTP status
  * @header_lines: header lines, each with its CR and LF; NULL for none
- * @body: body; NULL for none
- * @body_size: bytes of @body
+ * @body: body; NULL for none. It is not sent where HTTP allows none: to a HEAD
+ *	request, and with statuses 204 and 304
+ * @body_size: bytes of @body; for a HEAD request MC_H1_SIZE_UNKNOWN is allowed
  * @close: close the connection after the response
  */
 typedef struct mc_h1_response_t {
--- a/src/h1/parse.c
+++ b/src/h1/parse.c
@@ -11,6 +11,7 @@
 	STATUS_BAD_REQUEST = 400,
 	STATUS_BODY_TOO_LARGE = 413,
 	STATUS_HEAD_TOO_LARGE = 431,
+	STATUS_NOT_IMPLEMENTED = 501,
 	/* Return values of the callbacks of http_parser. */
 	CALLBACK_CONTINUE = 0,
 	CALLBACK_SKIP_BODY = 1,
@@ -105,6 +106,8 @@
 	if (terminate_text(parser))
 		return CALLBACK_ABORT;
 	parser->head_complete = true;
+	if (http->type == HTTP_REQUEST && http->method == HTTP_CONNECT)
+		return fail_message(parser, STATUS_NOT_IMPLEMENTED);
 	/* Upgrade requests are ignored, as no other protocol is supported. */
 	http->upgrade = 0;
 	if (http->content_length != UINT64_MAX &&
@@ -208,6 +211,16 @@
 		parser->error_status = STATUS_BAD_REQUEST;
 }
 
+/* Bytes of the body that a response to a HEAD request leaves out. */
+static size_t omitted_size(const h1_parser_t *parser)
+{
+	if (!parser->no_body)
+		return 0;
+	return parser->http.content_length == UINT64_MAX
+		       ? MC_H1_SIZE_UNKNOWN
+		       : (size_t)parser->http.content_length;
+}
+
 mc_h1_message_t h1_parser_message(h1_parser_t *parser)
 {
 	bool request = parser->http.type == HTTP_REQUEST;
@@ -231,6 +244,7 @@
 		.headers = parser->headers,
 		.body = parser->body.size ? parser->body.data : "",
 		.body_size = parser->body.size,
+		.omitted_size = omitted_size(parser),
 		.keep_alive = http_should_keep_alive(&parser->http),
 	};
 }
--- a/src/h1/server.c
+++ b/src/h1/server.c
@@ -56,6 +56,8 @@
 	/* The request's "Expect" header was checked. */
 	bool expect_checked;
 	bool has_delivered_request;
+	/* The response to the request has no body (HEAD). */
+	bool no_body;
 	/* Round-trip time, measured with the first request, ms. */
 	mc_ms_t round_trip;
 	/* When the first byte of the request was read, ms. */
@@ -132,6 +134,7 @@
 {
 	const mc_h1_response_t response = { .status = status, .close = true };
 
+	conn->no_body = false;
 	conn->state = CONN_HANDLING;
 	mc_h1_respond(conn->h1, conn->handle, &response);
 }
@@ -181,6 +184,7 @@
 	message.round_trip = conn->round_trip;
 	conn->has_delivered_request = true;
 	conn->keep_alive = message.keep_alive;
+	conn->no_body = conn->parser.http.method == HTTP_HEAD;
 	conn->state = CONN_HANDLING;
 	h1->server->request(h1->server_ctx, conn->handle, &message,
 			    conn->first_byte);
@@ -309,7 +313,8 @@
 	const char *header_lines =
 		response->header_lines ? response->header_lines : "";
 	bool sized = response->status != STATUS_NO_CONTENT &&
-		     response->status != STATUS_NOT_MODIFIED;
+		     response->status != STATUS_NOT_MODIFIED &&
+		     response->body_size != MC_H1_SIZE_UNKNOWN;
 	char head[HEADER_LINES_SIZE];
 	int size;
 	mc_err_t err;
@@ -327,7 +332,7 @@
 			 conn->keep_alive ? "" : "Connection: close\r\n");
 	if (!err)
 		err = h1_buffer_append(out, head, (size_t)size);
-	if (!err && sized)
+	if (!err && sized && !conn->no_body)
 		err = h1_buffer_append(out, response->body,
 				       response->body_size);
 	return err;
--- a/src/tier/reply.c
+++ b/src/tier/reply.c
@@ -78,7 +78,8 @@
 		.status = message->status,
 		.header_lines = lines,
 		.body = message->body,
-		.body_size = message->body_size,
+		.body_size = message->omitted_size ? message->omitted_size
+						   : message->body_size,
 		.close = reachability_is_cut_off(tier),
 	};
 
@@ -141,6 +142,9 @@
 	mc_records_sort(&request->records);
 	response.body = (const char *)request->records.rows;
 	response.body_size = (size_t)request->records.count * MC_RECORD_SIZE;
+	/* The answers to HEAD requests hold no records. */
+	if (!strcmp(request->message.method, "HEAD"))
+		response.body_size = MC_H1_SIZE_UNKNOWN;
 	mc_h1_respond(tier->h1, request->caller, &response);
 	free(lines);
 }
--- a/tests/unit/h1_test.c
+++ b/tests/unit/h1_test.c
@@ -319,6 +319,54 @@
 	close(fd);
 }
 
+/*
+ * The response to a HEAD request has no body, whoever makes it, and the next
+ * response follows its head; the length is that of the body left out, if it is
+ * known. Otherwise the peer finds the body in front of the next response.
+ */
+static void test_head_requests(void **state)
+{
+	fixture_t *fixture = *state;
+	const mc_h1_response_t unknown = { .status = 200,
+					   .body_size = MC_H1_SIZE_UNKNOWN };
+	char text[TEXT_SIZE];
+	int fd = connect_to(fixture->port);
+
+	send_text(fd, "HEAD /a HTTP/1.1\r\nHost: h\r\n\r\n"
+		      "GET /b HTTP/1.1\r\nHost: h\r\n\r\n");
+	read_until(fd, text, "done", 1);
+	assert_string_equal(text, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n"
+				  "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n"
+				  "done");
+	fixture->hold_responses = true;
+	send_text(fd, "HEAD /c HTTP/1.1\r\nHost: h\r\n\r\n");
+	wait_for(fixture, &fixture->requests, 3);
+	mc_shard_lock(fixture->shard);
+	assert_int_equal(
+		mc_h1_respond(fixture->h1, fixture->held_connection, &unknown),
+		MC_OK);
+	mc_shard_unlock(fixture->shard);
+	read_until(fd, text, "\r\n\r\n", 1);
+	assert_string_equal(text, "HTTP/1.1 200 OK\r\n\r\n");
+	close(fd);
+}
+
+/* A tunnel can't be carried; its bytes must not be taken for requests. */
+static void test_rejects_connect(void **state)
+{
+	fixture_t *fixture = *state;
+	char text[TEXT_SIZE];
+	int fd = connect_to(fixture->port);
+
+	send_text(fd, "CONNECT h:80 HTTP/1.1\r\nHost: h:80\r\n\r\n"
+		      "GET /b HTTP/1.1\r\nHost: h\r\n\r\n");
+	read_until(fd, text, NULL, 0);
+	assert_non_null(strstr(text, "HTTP/1.1 501 "));
+	assert_non_null(strstr(text, "Connection: close"));
+	assert_int_equal(fixture->requests, 0);
+	close(fd);
+}
+
 /*
  * Fields after the last chunk are no header fields of the message. The buffer
  * still holds what an earlier message of the connection left there, and a field
@@ -571,6 +619,8 @@
 		H1_TEST(test_pipelined_requests),
 		H1_TEST(test_rejects_invalid),
 		H1_TEST(test_rejects_large_head),
+		H1_TEST(test_head_requests),
+		H1_TEST(test_rejects_connect),
 		H1_TEST(test_trailers_of_requests),
 		H1_TEST(test_rejects_large_trailers),
 		H1_TEST(test_reports_disconnect),
