tier: a sudden overload is refused before rates and latencies are known

Cause, from the log: two kinds. "deadline_past": the admission by queue has no estimate for the first ones, queues all of them, and looks only at new requests once it has one. "deadline_exceeded": while nothing is known, each shard sends up to three requests per slot of a target, the shards together six, which takes the targets longer than the callers wait.

Change: the check of new parts is made again, each time the queue's timer fires, for the parts that wait, and what would miss its goal is refused with a time to come back. While the latency of a route is unknown, a target gets one request per slot.

--- a/src/tier/admit.c
+++ b/src/tier/admit.c
@@ -26,6 +26,7 @@
 
 mc_err_t admit_check_part(const part_t *part, uint32_t ahead, mc_ms_t *wait)
 {
+	*wait = 0;
 	if (target_notice_silences(part, wait))
 		return MC_ERR_NO_TARGET;
 	if (target_limit_refuses(part, ahead, wait))
@@ -33,9 +34,8 @@
 	return MC_OK;
 }
 
-/* Whether the part would wait so long behind others that it misses the goal. */
-static bool queue_refuses(const service_t *service, const part_t *part,
-			  uint32_t ahead, mc_ms_t *wait)
+bool admit_queue_refuses(const service_t *service, const part_t *part,
+			 uint32_t ahead, mc_ms_t *wait)
 {
 	const request_t *request = part->request;
 	mc_ms_t now = mc_shard_now(request->tier->shard);
@@ -53,7 +53,7 @@
 		mc_table_get(part->request->tier->services, part->service);
 	uint32_t ahead = service ? waiting_ahead(service, part) : 0;
 
-	if (service && queue_refuses(service, part, ahead, wait))
+	if (service && admit_queue_refuses(service, part, ahead, wait))
 		return MC_ERR_OVERLOADED;
 	return admit_check_part(part, ahead, wait);
 }
--- a/src/tier/admit.h
+++ b/src/tier/admit.h
@@ -25,6 +25,17 @@
  */
 mc_err_t admit_check_part(const part_t *part, uint32_t ahead, mc_ms_t *wait);
 
+/**
+ * admit_queue_refuses() - Tell whether a part would wait so long behind others
+ * that it misses the goal of its request
+ * @service: the part's service
+ * @part: the part
+ * @ahead: number of parts that are sent before it
+ * @wait: receives how long it would wait, ms
+ */
+bool admit_queue_refuses(const service_t *service, const part_t *part,
+			 uint32_t ahead, mc_ms_t *wait);
+
 /** admit_set_return() - Tell the caller to come back @wait ms from now or
  * later, at another time than other callers */
 void admit_set_return(request_t *request, mc_ms_t wait);
--- a/src/tier/select.c
+++ b/src/tier/select.c
@@ -17,6 +17,9 @@
 	/* Requests at a target, running or queued, per slot. More would wait
 	 * there, where urgent ones can't overtake them. */
 	LOAD_PER_SLOT_MAX = 3,
+	/* The same while it is unknown how long a request of the route takes:
+	 * none should have to wait there. */
+	LOAD_PER_SLOT_UNKNOWN_MAX = 1,
 };
 
 static bool was_tried(const part_t *part, mc_handle_t target)
@@ -41,10 +44,15 @@
 
 /* A target whose queue is long by its own report gets another request only from
  * a sender that has none there. */
-static bool has_room(const target_t *target, mc_ms_t now)
+static bool has_room(const target_t *target, const route_stats_t *stats,
+		     mc_ms_t now)
 {
+	bool is_known = stats && stats->median.value > 0;
+
 	return !target->in_flight ||
-	       relative_load(target, now) < LOAD_PER_SLOT_MAX;
+	       relative_load(target, now) <
+		       (is_known ? LOAD_PER_SLOT_MAX
+				 : LOAD_PER_SLOT_UNKNOWN_MAX);
 }
 
 bool select_is_excluded(const part_t *part, const target_t *target)
@@ -103,7 +111,7 @@
 			oldest ? oldest->typical_latency : 0, now),
 		.has_capacity =
 			pool_has_capacity(tier, service, target) &&
-			has_room(target, now) &&
+			has_room(target, part->request->stats, now) &&
 			!target_limit_wait(tier, target) &&
 			(!is_warming_up ||
 			 !mc_token_bucket_wait(&target->warmup_bucket,
--- a/src/tier/send.c
+++ b/src/tier/send.c
@@ -404,12 +404,43 @@
 				    NULL, NULL);
 }
 
+/* Finds the first waiting part that misses its goal by now. */
+static part_t *find_late_part(const service_t *service, mc_ms_t *wait)
+{
+	uint32_t ahead = 0, priority;
+	part_t *part;
+
+	for (priority = 0; priority < TIER_PRIORITIES; priority++)
+		for (part = TAILQ_FIRST(&service->waiting[priority]); part;
+		     part = TAILQ_NEXT(part, entry))
+			if (admit_queue_refuses(service, part, ahead++, wait))
+				return part;
+	return NULL;
+}
+
+/* Refuses parts that were queued before it was known how long they would wait,
+ * or while their targets were faster. */
+static void refuse_late_parts(tier_t *tier, service_t *service)
+{
+	part_t *part;
+	mc_ms_t wait;
+
+	while ((part = find_late_part(service, &wait))) {
+		waiting_remove(service, part);
+		mc_counter_add(mc_shard_counters(tier->shard),
+			       MC_COUNTER_LIMITED, 1);
+		request_part_unsendable(part->request, part, MC_ERR_OVERLOADED,
+					wait);
+	}
+}
+
 static void on_dispatch_timer(mc_shard_t *shard, void *arg)
 {
 	service_t *service = arg;
 
 	(void)shard;
 	service->dispatch_timer = MC_HANDLE_NONE;
+	refuse_late_parts(service->tier, service);
 	service_dispatch_waiting(service->tier, service);
 }
 
