platform: an address that nothing can be sent to names no target

Cause, the first of two: any text was taken for an address. As nothing is ever in flight at such a target, it looks idle and is chosen before all others.

Change: an address must parse as IP and port, with a port above 0 and the IP of a host. The reason is logged as for other invalid entries.

Measured: test_target_address failed before (each bad address was taken) and passes.

--- a/src/net/address.c
+++ b/src/net/address.c
@@ -4,6 +4,7 @@
 #include "net_private.h"
 
 #include <arpa/inet.h>
+#include <ctype.h>
 #include <errno.h>
 #include <stdlib.h>
 #include <string.h>
@@ -21,7 +22,7 @@
 	size_t size;
 	char *end;
 
-	if (!colon || !colon[1])
+	if (!colon || !isdigit((unsigned char)colon[1]))
 		return mc_fail(MC_ERR_BAD_SETTINGS,
 			       "address \"%s\": expected IP:port", text);
 	size = (size_t)(colon - text);
@@ -110,6 +111,36 @@
 	return MC_ERR_IO;
 }
 
+static bool is_unspecified(const address_t *address)
+{
+	const struct sockaddr_in *v4 =
+		(const struct sockaddr_in *)&address->storage;
+	const struct sockaddr_in6 *v6 =
+		(const struct sockaddr_in6 *)&address->storage;
+
+	if (v4->sin_family == AF_INET6)
+		return IN6_IS_ADDR_UNSPECIFIED(&v6->sin6_addr);
+	return v4->sin_addr.s_addr == htonl(INADDR_ANY);
+}
+
+mc_err_t mc_socket_check_address(const char *text)
+{
+	address_t address;
+	mc_err_t err = address_parse(text, &address);
+
+	if (err)
+		return err;
+	/* The port is at the same place for both families. */
+	if (!((struct sockaddr_in *)&address.storage)->sin_port)
+		return mc_fail(MC_ERR_BAD_SETTINGS,
+			       "address \"%s\": expected a port above 0", text);
+	if (is_unspecified(&address))
+		return mc_fail(MC_ERR_BAD_SETTINGS,
+			       "address \"%s\": expected the IP of a host",
+			       text);
+	return MC_OK;
+}
+
 mc_err_t mc_socket_connect(const char *address, int *fd)
 {
 	address_t to;
--- a/src/net/include/mc/net/socket.h
+++ b/src/net/include/mc/net/socket.h
@@ -6,6 +6,15 @@
 
 #include "mc/base.h"
 
+/**
+ * mc_socket_check_address() - Check that an address can be connected to
+ * @address: text that should be "IP:port", with a port above 0 and an IP that
+ *	isn't the unspecified one
+ *
+ * Return: MC_OK, MC_ERR_BAD_SETTINGS.
+ */
+mc_err_t mc_socket_check_address(const char *address);
+
 /**
  * mc_socket_connect() - Start connecting a non-blocking socket; any thread
  * @address: "IP:port"
--- a/tests/unit/platform_test.c
+++ b/tests/unit/platform_test.c
@@ -162,6 +162,42 @@
 				 MC_ERR_BAD_REQUEST);
 }
 
+#define TARGET_AT(address)                                                    \
+	"{\"backend\": \"a\", \"address\": \"" address "\", \"zone\": \"n\"," \
+	" \"version\": \"v1\", \"slots\": 2, \"state\": \"ready\","           \
+	" \"warmupLeftMs\": 0, \"seq\": 4, \"born\": 1}"
+
+/* An address that nothing can be sent to names no target: as nothing is ever in
+ * flight there, it would be chosen before all others. */
+static void test_target_address(void **state)
+{
+	static const char *const bad[] = {
+		TARGET_AT("\xEF\xBF\xBD\xEF\xBF\xBD"),
+		TARGET_AT("host:80"),
+		TARGET_AT("10.0.0.9"),
+		TARGET_AT("10.0.0.9:"),
+		TARGET_AT("10.0.0.9:0"),
+		TARGET_AT("10.0.0.9:65536"),
+		TARGET_AT("10.0.0.9:80x"),
+		TARGET_AT("10.0.0.9: 80"),
+		TARGET_AT(":80"),
+		TARGET_AT("0.0.0.0:80"),
+	};
+	static const char *const good[] = {
+		TARGET_AT("10.0.0.9:80"),
+		TARGET_AT("[2001:db8::9]:65535"),
+	};
+	mc_target_entry_t entry;
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < MC_ARRAY_LEN(bad); i++)
+		assert_int_equal(decode_entry(bad[i], &entry),
+				 MC_ERR_BAD_REQUEST);
+	for (i = 0; i < MC_ARRAY_LEN(good); i++)
+		assert_int_equal(decode_entry(good[i], &entry), MC_OK);
+}
+
 #define ORDER(spec, status)                                                \
 	"{\"meta\": {\"name\": \"s\", \"revision\": 41}, \"spec\": {" spec \
 	"},"                                                               \
@@ -427,6 +463,7 @@
 		cmocka_unit_test(test_routemap_split),
 		cmocka_unit_test(test_routemap_rejects_invalid),
 		cmocka_unit_test(test_target),
+		cmocka_unit_test(test_target_address),
 		cmocka_unit_test(test_rollout),
 		cmocka_unit_test(test_evidence),
 		cmocka_unit_test(test_relayed_changes),
