tier: a target to which connecting fails at once counts as a failed target

Cause: when connect() failed at once, send_part() returned false and nothing was recorded. The target was never ejected, looked idle, and was chosen again for each part, before the targets that had work; the part waited, and those behind it in the queue too.

Change: such a connection exists until a timer of the same turn ends it, as if it had failed a moment later: the fault counts for the target, which is ejected with a growing pause, and the part goes to another target without budget, as no byte was sent. A lack of descriptors, ports or memory here is no fault of the target, has an error kind of its own, and lets the part wait as before.

--- a/src/net/address.c
+++ b/src/net/address.c
@@ -141,6 +141,13 @@
 	return MC_OK;
 }
 
+/* Whether a call failed for lack of ports or memory here, whatever the peer. */
+static bool lacks_local_resources(int error)
+{
+	return error == EADDRNOTAVAIL || error == EAGAIN || error == ENOBUFS ||
+	       error == ENOMEM;
+}
+
 mc_err_t mc_socket_connect(const char *address, int *fd)
 {
 	address_t to;
@@ -151,13 +158,14 @@
 	*fd = socket(to.storage.ss_family,
 		     SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
 	if (*fd < 0)
-		return mc_fail(MC_ERR_IO, "socket: %s", strerror(errno));
+		return mc_fail(MC_ERR_FULL, "socket: %s", strerror(errno));
 	if (!connect(*fd, (struct sockaddr *)&to.storage, to.size) ||
 	    errno == EINPROGRESS)
 		return MC_OK;
-	mc_fail(MC_ERR_IO, "connect to %s: %s", address, strerror(errno));
+	err = lacks_local_resources(errno) ? MC_ERR_FULL : MC_ERR_IO;
+	mc_fail(err, "connect to %s: %s", address, strerror(errno));
 	close(*fd);
-	return MC_ERR_IO;
+	return err;
 }
 
 void mc_socket_close(int fd)
--- a/src/net/include/mc/net/socket.h
+++ b/src/net/include/mc/net/socket.h
@@ -21,7 +21,8 @@
  * @fd: receives the socket, owned by the caller; it becomes writable when it is
  *	connected or connecting has failed
  *
- * Return: MC_OK, MC_ERR_IO, MC_ERR_BAD_SETTINGS.
+ * Return: MC_OK; MC_ERR_IO or MC_ERR_BAD_SETTINGS if there is no way to the
+ * address; MC_ERR_FULL if descriptors, ports or memory are used up here.
  */
 mc_err_t mc_socket_connect(const char *address, int *fd);
 
--- a/src/tier/pool.c
+++ b/src/tier/pool.c
@@ -119,7 +119,8 @@
 	       target->entry.id, target->entry.address);
 }
 
-static void on_connect_timeout(mc_shard_t *shard, void *arg)
+/* Connecting took too long, or failed at once. */
+static void on_not_connected(mc_shard_t *shard, void *arg)
 {
 	conn_t *conn = arg;
 	tier_t *tier = conn->tier;
@@ -141,6 +142,7 @@
 	mc_ms_t until = mc_shard_now(tier->shard) + CONNECT_TIMEOUT_MS;
 	mc_handle_t handle;
 	conn_t *conn;
+	mc_err_t err;
 	void *slot;
 
 	if (mc_table_add(tier->conns, &handle, &slot))
@@ -149,14 +151,23 @@
 	conn->tier = tier;
 	conn->handle = handle;
 	conn->target = target->handle;
-	if (mc_h1_connect(tier->h1, target->entry.address, &client, conn,
-			  &conn->h1_conn) ||
-	    mc_timer_set(tier->shard, until, on_connect_timeout, conn,
-			 &conn->timer)) {
+	err = mc_h1_connect(tier->h1, target->entry.address, &client, conn,
+			    &conn->h1_conn);
+	if (err)
 		mc_log(tier->log, MC_LOG_WARNING, "tier",
 		       "connection to target could not be opened target=%s "
 		       "reason=\"%s\"",
 		       target->entry.id, mc_last_error_message());
+	/* Whatever is at fault here is no failure of the target. */
+	if (err && err != MC_ERR_IO && err != MC_ERR_BAD_SETTINGS) {
+		mc_table_remove(tier->conns, handle);
+		return NULL;
+	}
+	conn->has_failed = err != MC_OK;
+	if (conn->has_failed)
+		until = mc_shard_now(tier->shard);
+	if (mc_timer_set(tier->shard, until, on_not_connected, conn,
+			 &conn->timer)) {
 		mc_h1_close(tier->h1, conn->h1_conn);
 		mc_table_remove(tier->conns, handle);
 		return NULL;
--- a/src/tier/send.c
+++ b/src/tier/send.c
@@ -172,7 +172,7 @@
 		       service->name, target->entry.id,
 		       attempt->typical_latency,
 		       (long long)target->entry.started_at);
-	if (write_request(tier, request, conn, target))
+	if (!conn->has_failed && write_request(tier, request, conn, target))
 		mc_log(tier->log, MC_LOG_ERROR, "tier",
 		       "request could not be written to the target's "
 		       "connection id=%s target=%s reason=\"%s\"",
--- a/src/tier/tier_private.h
+++ b/src/tier/tier_private.h
@@ -192,6 +192,9 @@
 	mc_handle_t h1_conn;
 	mc_handle_t attempt;
 	bool is_open;
+	/* Connecting failed at once. That is handled by the timer, as for a
+	 * failure that takes its time. */
+	bool has_failed;
 	bool is_idle;
 	/* It was opened without a request, to check that the target accepts
 	 * connections. */
--- a/tests/system/trouble_test.c
+++ b/tests/system/trouble_test.c
@@ -30,6 +30,10 @@
 	OVERLOAD_DELAY_MS = 300,
 	/* Time between the starts of two callers, ms. */
 	OVERLOAD_RISE_MS = 10,
+	/* As many callers as the searchers have slots. */
+	PATIENT_CALLERS = 4,
+	PATIENT_REQUESTS = 40,
+	PATIENT_DELAY_MS = 40,
 };
 
 /* Each test case that runs in parallel uses its own directory. */
@@ -112,6 +116,12 @@
 	       SITE_SHARDS * SITE_REPLICAS;
 }
 
+static bool has_new_target(void *ctx)
+{
+	return site_metric(ctx, 0, "mangocove_targets") >
+	       SITE_SHARDS * SITE_REPLICAS + SITE_SINGLE_REPLICAS;
+}
+
 /*
  * The entries of searchers that are only silent expire. The request that one of
  * them is at work on is neither given up nor run again elsewhere.
@@ -265,6 +275,57 @@
 	assert_int_equal(site_count_runs(site, answer.id), 0);
 }
 
+/* A caller of test_connect_fails_at_once(). */
+static void *run_patient_caller(void *arg)
+{
+	overload_t *counts = arg;
+	int i;
+
+	for (i = 0; i < PATIENT_REQUESTS; i++) {
+		site_answer_t answer = site_send_request(
+			counts->site, 0, "GET", "/one/x", TIME_LEFT_MS);
+
+		__atomic_add_fetch(answer.status == 200 ? &counts->served
+							: &counts->failed,
+				   1, __ATOMIC_RELAXED);
+	}
+	return NULL;
+}
+
+/*
+ * connect() to a target fails at once (a link-local address without an
+ * interface; nothing is sent). As nothing is in flight there, it looks idle: it
+ * must be ejected like one that fails later, and hold back no request that
+ * another target can take.
+ */
+static void test_connect_fails_at_once(void **state)
+{
+	site_t *site = *state;
+	overload_t counts = { .site = site };
+	pthread_t callers[PATIENT_CALLERS];
+	mc_ms_t start;
+	int i;
+
+	for (i = 0; i < SITE_SINGLE_REPLICAS; i++)
+		searcher_set_delay(site->single_replicas[i], PATIENT_DELAY_MS);
+	object_store_put(site->object_store, "servers", "i-nowhere",
+			 json_pack("{ss ss ss ss si ss si si si}", "backend",
+				   "single", "address", "[fe80::1]:80", "zone",
+				   "dc0", "version", "v1", "slots", 2, "state",
+				   "ready", "warmupLeftMs", 0, "seq", 1, "born",
+				   1000));
+	harness_wait_until("the entry is read", has_new_target, site);
+	start = mc_clock_now(mc_clock_system());
+	for (i = 0; i < PATIENT_CALLERS; i++)
+		pthread_create(&callers[i], NULL, run_patient_caller, &counts);
+	for (i = 0; i < PATIENT_CALLERS; i++)
+		pthread_join(callers[i], NULL);
+	print_message("served %u failed %u in %lld ms\n", counts.served,
+		      counts.failed,
+		      (long long)(mc_clock_now(mc_clock_system()) - start));
+	assert_int_equal(counts.failed, 0);
+}
+
 #define TROUBLE_TEST(test) \
 	cmocka_unit_test_setup_teardown(test, set_up, tear_down)
 
@@ -278,6 +339,7 @@
 		TROUBLE_TEST(test_overload),
 		TROUBLE_TEST(test_sudden_overload),
 		TROUBLE_TEST(test_deadline_before_send),
+		TROUBLE_TEST(test_connect_fails_at_once),
 	};
 
 	if (argc > 1) {
