platform: a record that can't be read doesn't hide the others

Cause: the whole response of a list or watch was decoded by one call, which fails as a whole.

A response that is cut off or lacks its list or revision is a failed call, never an empty list.

--- a/src/base/include/mc/base/counter.h
+++ b/src/base/include/mc/base/counter.h
@@ -53,6 +53,7 @@
 	X(STORE_CALLS_RELIST, "store_calls_relist", "history gone, rechecks")  \
 	X(STORE_CALLS_PROBE, "store_calls_probe", "whether the store answers") \
 	X(STORE_CALLS_ROLLOUT, "store_calls_rollout", "evidence, states")      \
+	X(RECORDS_INVALID, "records_invalid", "records that can't be used")    \
 	X(STORE_FAILURES, "store_failures", "failed calls to the store")       \
 	X(NEWS_TAKEN, "news_taken", "changes told by another instance")        \
 	X(NEWS_LOST, "news_lost", "times that no instance was heard any more") \
--- a/src/discovery/discovery_private.h
+++ b/src/discovery/discovery_private.h
@@ -160,6 +160,10 @@
  * applied to a kind's records */
 bool discovery_is_following(const kind_sync_t *sync);
 
+/** discovery_log_invalid() - Count and log a record that can't be used */
+void discovery_log_invalid(mc_discovery_t *discovery, const char *kind,
+			   const mc_source_record_t *record);
+
 /** discovery_count_call() - Count a call to the store, and its cause */
 void discovery_count_call(const mc_discovery_t *discovery,
 			  mc_counter_id_t cause);
--- a/src/discovery/records.c
+++ b/src/discovery/records.c
@@ -6,9 +6,11 @@
 #include <apr_strings.h>
 #include <string.h>
 
-static void log_decode_error(mc_discovery_t *discovery, const char *kind,
-			     const mc_source_record_t *record)
+void discovery_log_invalid(mc_discovery_t *discovery, const char *kind,
+			   const mc_source_record_t *record)
 {
+	mc_counter_add(mc_shard_counters(discovery->params.shard),
+		       MC_COUNTER_RECORDS_INVALID, 1);
 	mc_log(mc_shard_log(discovery->params.shard), MC_LOG_WARNING, "follow",
 	       "invalid record ignored kind=%s name=%s reason=\"%s\"", kind,
 	       record->name, record->decode_error);
@@ -24,7 +26,7 @@
 	if (record->removed)
 		return;
 	if (record->decode_error) {
-		log_decode_error(discovery, "map", record);
+		discovery_log_invalid(discovery, "map", record);
 		return;
 	}
 	version = mc_routemap_version(record->map);
@@ -55,7 +57,7 @@
 
 	if (record->removed || record->decode_error) {
 		if (record->decode_error)
-			log_decode_error(discovery, "target", record);
+			discovery_log_invalid(discovery, "target", record);
 		mc_registry_remove_target(discovery->registry, record->name,
 					  at);
 		mc_log(mc_shard_log(discovery->params.shard), MC_LOG_INFO,
@@ -169,9 +171,14 @@
 	};
 	uint32_t i;
 
-	for (i = 0; i < result->record_count; i++)
-		if (!is_known(&result->records[i], known_until))
-			apply[kind](discovery, &result->records[i], at);
+	for (i = 0; i < result->record_count; i++) {
+		const mc_source_record_t *record = &result->records[i];
+
+		if (record->decode_error && !*record->name)
+			discovery_log_invalid(discovery, "unknown", record);
+		else if (!is_known(record, known_until))
+			apply[kind](discovery, record, at);
+	}
 	if (kind == MC_SOURCE_INSTANCES && result->record_count) {
 		update_instances(discovery);
 		peers_update(discovery);
--- a/src/discovery/rollouts.c
+++ b/src/discovery/rollouts.c
@@ -64,11 +64,7 @@
 		return;
 	}
 	if (record->decode_error) {
-		mc_log(mc_shard_log(discovery->params.shard), MC_LOG_WARNING,
-		       "follow",
-		       "invalid record ignored kind=rollout name=%s "
-		       "reason=\"%s\"",
-		       record->name, record->decode_error);
+		discovery_log_invalid(discovery, "rollout", record);
 		return;
 	}
 	put_order(discovery, record->name, &record->order);
--- a/src/discovery/sync.c
+++ b/src/discovery/sync.c
@@ -256,12 +256,21 @@
 	discovery_schedule_publish(sync->discovery);
 }
 
+/* Name of a page's last record whose name can be read; "" without one. */
+static const char *last_name(const mc_source_result_t *result)
+{
+	uint32_t i;
+
+	for (i = result->record_count; i > 0; i--)
+		if (*result->records[i - 1].name)
+			return result->records[i - 1].name;
+	return "";
+}
+
 /* Returns false if the list is older than needed, and is begun again. */
 static bool handle_list_result(kind_sync_t *sync,
 			       const mc_source_result_t *result)
 {
-	const mc_source_record_t *last;
-
 	if (!mc_read_accepts_list(&sync->state, result->revision,
 				  sync->call == MC_READ_STALE_LIST)) {
 		sync->state.stale_lists++;
@@ -280,10 +289,9 @@
 	if (sync->call == MC_READ_LIST && !sync->list_after[0] &&
 	    !result->has_more && result->raw)
 		peers_send_changes(sync, MC_RELAY_LIST, result->raw);
-	if (result->has_more && result->record_count) {
-		last = &result->records[result->record_count - 1];
+	if (result->has_more && *last_name(result)) {
 		snprintf(sync->list_after, sizeof(sync->list_after), "%s",
-			 last->name);
+			 last_name(result));
 		return true;
 	}
 	end_list(sync);
--- a/tests/unit/platform_test.c
+++ b/tests/unit/platform_test.c
@@ -335,6 +335,128 @@
 		    NULL);
 }
 
+#define LIST(object)                                                                     \
+	"{\"items\": [{\"meta\": {\"name\": \"a\", \"revision\": 3}, \"spec\": " TARGET( \
+		"\"ready\"", "0", "4",                                                   \
+		"1") "}, " object                                                        \
+		     ", {\"meta\": {\"name\": \"z\"}, \"spec\": " TARGET(                \
+			     "\"ready\"", "0", "4", "1") "}], \"asOf\": 44}"
+#define NAMED(member)                                                         \
+	"{\"meta\": {\"name\": \"bad\", \"revision\": 9}, \"spec\": {" member \
+	"}}"
+
+static mc_err_t decode_list(const char *text, decoded_records_t *decoded)
+{
+	return decode_records(MC_SOURCE_TARGETS, false,
+			      (mc_json_span_t){ text, strlen(text) }, decoded);
+}
+
+static void check_unreadable(const char *text, const char *name)
+{
+	const mc_source_record_t *records;
+	decoded_records_t decoded;
+
+	assert_int_equal(decode_list(text, &decoded), MC_OK);
+	assert_int_equal(decoded.result.revision, 44);
+	assert_int_equal(decoded.result.record_count, 3);
+	records = decoded.result.records;
+	assert_string_equal(records[0].name, "a");
+	assert_null(records[0].decode_error);
+	assert_string_equal(records[0].target.address, "10.0.0.9:80");
+	assert_string_equal(records[1].name, name);
+	assert_non_null(records[1].decode_error);
+	assert_string_equal(records[2].name, "z");
+	assert_null(records[2].decode_error);
+	free_records(&decoded);
+}
+
+/*
+ * One record of another writer that can't be read must not hide the others, in
+ * a list that would then be empty for ever. Its name is known where that can be
+ * read, so that a record that becomes unreadable can take effect.
+ */
+static void test_unreadable_records(void **state)
+{
+	static const char *const named[] = {
+		LIST(NAMED("\"version\": \"\\u0000\\u0001\"")),
+		LIST(NAMED("\"slots\": 12345678901234567890")),
+		LIST(NAMED("\"slots\": 1e400")),
+		LIST(NAMED("\"zone\": \"\xC3\x28\"")),
+		LIST(NAMED("\"zone\": nonsense")),
+		LIST(NAMED("\"zone\": \"\\ud800\"")),
+		LIST(NAMED("\"\\u0000\": 1")),
+		LIST(NAMED("\"a\": 1, \"a\": 2")),
+	};
+	static const char *const nameless[] = {
+		LIST("{\"meta\": {\"name\": \"\\u0000\"}}"),
+		LIST("{\"meta\": {\"name\": 7}}"),
+		LIST("null"),
+		LIST("\"text\""),
+		LIST("1e400"),
+		LIST("[[]]"),
+	};
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < MC_ARRAY_LEN(named); i++)
+		check_unreadable(named[i], "bad");
+	for (i = 0; i < MC_ARRAY_LEN(nameless); i++)
+		check_unreadable(nameless[i], "");
+}
+
+/* Nesting deeper than the decoder's stack may go. */
+static void test_nested_record(void **state)
+{
+	enum {
+		DEPTH = 100000
+	};
+	size_t size = DEPTH * 2 + 1;
+	char *nested = malloc(size), *text = malloc(size + 2048);
+
+	(void)state;
+	memset(nested, '[', DEPTH);
+	memset(nested + DEPTH, ']', DEPTH);
+	nested[size - 1] = '\0';
+	sprintf(text, LIST(NAMED("\"zone\": %s")), nested);
+	check_unreadable(text, "bad");
+	free(nested);
+	free(text);
+}
+
+/* A response that is cut off, or has no list, is no empty list. */
+static void test_incomplete_list(void **state)
+{
+	static const char *const bad[] = {
+		"",
+		"[]",
+		"{}",
+		"{\"items\": [], \"asOf\": 4",
+		"{\"items\": [",
+		"{\"items\": [], \"asOf\": 1e400}",
+		"{\"items\": [], \"asOf\": \"4\"}",
+		"{\"items\": {}, \"asOf\": 4}",
+		"{\"items\": [1 2], \"asOf\": 4}",
+		"{\"items\": [1,], \"asOf\": 4}",
+		"{\"items\": [1}, \"asOf\": 4}",
+		"{\"events\": [], \"asOf\": 4}",
+		"{\"items\": [], \"asOf\": 4} {}",
+	};
+	decoded_records_t decoded;
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < MC_ARRAY_LEN(bad); i++) {
+		assert_int_equal(decode_list(bad[i], &decoded),
+				 MC_ERR_STORE_UNAVAILABLE);
+		free_records(&decoded);
+	}
+	assert_int_equal(
+		decode_list(" { \"items\" : [ ] , \"asOf\" : 4 } ", &decoded),
+		MC_OK);
+	assert_int_equal(decoded.result.record_count, 0);
+	free_records(&decoded);
+}
+
 static void test_protocol(void **state)
 {
 	const mc_tier_protocol_t *protocol = mc_platform_protocol();
@@ -467,6 +589,9 @@
 		cmocka_unit_test(test_rollout),
 		cmocka_unit_test(test_evidence),
 		cmocka_unit_test(test_relayed_changes),
+		cmocka_unit_test(test_unreadable_records),
+		cmocka_unit_test(test_nested_record),
+		cmocka_unit_test(test_incomplete_list),
 		cmocka_unit_test(test_protocol),
 		cmocka_unit_test(test_rate_limit),
 		cmocka_unit_test(test_pause_and_leaving),
