runtime: SIGTERM that comes again doesn't cut off requests in flight

Cause: any further SIGTERM or SIGINT counted as the wish to end at once, and any signal at all cut the notice period short.

Change: during a stop only SIGINT, from somebody at a terminal, ends the process at once; SIGTERM and SIGHUP have no effect, and waits last as long as they should.

--- a/src/runtime/runtime.c
+++ b/src/runtime/runtime.c
@@ -139,9 +139,10 @@
 /* Waits at most @wait ms for a signal. Returns its number, or 0. */
 static int wait_signal(const sigset_t *signals, mc_ms_t wait)
 {
+	mc_ms_t limit_ms = wait > 0 ? wait : 0;
 	const struct timespec limit = {
-		.tv_sec = wait / MS_PER_S,
-		.tv_nsec = wait % MS_PER_S * NS_PER_MS,
+		.tv_sec = limit_ms / MS_PER_S,
+		.tv_nsec = limit_ms % MS_PER_S * NS_PER_MS,
 	};
 	int caught = sigtimedwait(signals, NULL, &limit);
 
@@ -149,14 +150,21 @@
 }
 
 /*
- * Waits @wait ms. Returns true at once on another SIGTERM or SIGINT; any other
- * signal also ends the wait, with false, and is ignored.
+ * Waits @wait ms during a shutdown. Returns true at once on SIGINT, with which
+ * somebody at a terminal ends the process without further delay. SIGTERM and
+ * SIGHUP have no effect: whoever stops processes may say so more than once, and
+ * the requests in flight still need their answers.
  */
-static bool wait_stop_signal(const sigset_t *signals, mc_ms_t wait)
+static bool wait_interrupt(const sigset_t *signals, mc_ms_t wait)
 {
-	int caught = wait_signal(signals, wait);
+	const mc_clock_t *clock = mc_clock_system();
+	mc_ms_t end = mc_clock_now(clock) + wait;
+	int caught;
 
-	return caught == SIGTERM || caught == SIGINT;
+	do {
+		caught = wait_signal(signals, end - mc_clock_now(clock));
+	} while (caught && caught != SIGINT && mc_clock_now(clock) < end);
+	return caught == SIGINT;
 }
 
 static void shut_down(mc_runtime_t *runtime, const sigset_t *signals)
@@ -176,11 +184,11 @@
 	if (params->ops->begin_shutdown)
 		params->ops->begin_shutdown(params->role);
 	post_to_all(runtime, params->ops->drain);
-	if (wait_stop_signal(signals, params->notice_period))
+	if (wait_interrupt(signals, params->notice_period))
 		return;
 	post_to_all(runtime, params->ops->stop_accepting);
 	while (mc_clock_now(clock) < end) {
-		if (wait_stop_signal(signals, IDLE_CHECK_INTERVAL_MS) ||
+		if (wait_interrupt(signals, IDLE_CHECK_INTERVAL_MS) ||
 		    all_idle(runtime))
 			return;
 	}
--- a/tests/system/stop_test.c
+++ b/tests/system/stop_test.c
@@ -24,6 +24,11 @@
 	NOTICE_MS = 1000,
 	/* Longer than NOTICE_MS, shorter than SITE_GRACE_MS, ms. */
 	PAUSE_MS = 1300,
+	/* As many slow requests as the searchers have slots, and the time that
+	 * each takes, ms. */
+	SLOW_REQUESTS = 4,
+	SLOW_MS = 800,
+	SIGNALS = 8,
 	LOG_SIZE = 1 << 20,
 	LOG_PATH_SIZE = 512,
 };
@@ -77,15 +82,19 @@
 		assert_true(raw_send(fds[i], request));
 }
 
-static void read_responses(const int *fds)
+static int read_status(int fd)
 {
 	char head[RAW_HEAD_MAX], body[4096];
+
+	return raw_read_response(fd, head, body, sizeof(body));
+}
+
+static void read_responses(const int *fds)
+{
 	int i;
 
 	for (i = 0; i < CONNECTIONS; i++)
-		assert_int_equal(
-			raw_read_response(fds[i], head, body, sizeof(body)),
-			200);
+		assert_int_equal(read_status(fds[i]), 200);
 }
 
 static void close_connections(const int *fds)
@@ -162,6 +171,28 @@
 		harness_stop(site->harness, site->instances[0].process, 0), 0);
 }
 
+/* SIGTERM comes again and again while requests are in flight: none is cut off,
+ * and the notice period is not cut short. */
+static void test_repeated_signals(void **state)
+{
+	site_t *site = *state;
+	mc_handle_t process = site->instances[0].process;
+	int fds[CONNECTIONS], i;
+
+	for (i = 0; i < SITE_SINGLE_REPLICAS; i++)
+		searcher_set_delay(site->single_replicas[i], SLOW_MS);
+	open_connections(site, fds);
+	send_requests(fds);
+	for (i = 0; i < SIGNALS; i++) {
+		harness_signal(site->harness, process,
+			       i % 2 ? SIGHUP : SIGTERM);
+		harness_sleep(SLOW_MS / SIGNALS);
+	}
+	read_responses(fds);
+	close_connections(fds);
+	assert_int_equal(harness_stop(site->harness, process, 0), 0);
+}
+
 static void read_log(const site_t *site, char *text, size_t size)
 {
 	char path[LOG_PATH_SIZE];
@@ -202,6 +233,7 @@
 	const struct CMUnitTest tests[] = {
 		STOP_TEST(test_answers_accepted_requests),
 		STOP_TEST(test_answers_first_request),
+		STOP_TEST(test_repeated_signals),
 		STOP_TEST(test_fatal_signal_is_logged),
 	};
 
