tier: a request at a replaced target doesn't count as in flight for ever

What callers would see: after many replacements of targets under load, an overload is refused too late, and requests wait in vain.

Cause: a target that was replaced is freed with its last connection. When that connection is lost with a request in flight, the attempt finds no target, and the requests in flight of the service were only counted down by way of it. The queue's rate is derived from them, so that it grows with each replacement for as long as the process lives.

Change: an attempt names its service. The new counter attempts_ended makes the sum visible: sub_queries and extras less attempts_ended are in flight.

Measured: with the counter at the former place, test_replaced_in_flight never got to "nothing is in flight" (30 s); it passes now, after two replacements.

--- a/src/tier/send.c
+++ b/src/tier/send.c
@@ -31,27 +31,28 @@
 	DISPATCH_RETRY_MS = 25,
 };
 
+/* The target may be gone: one that was replaced goes with its last connection.
+ */
 static void remove_attempt(tier_t *tier, attempt_t *attempt)
 {
 	request_t *request = mc_table_get(tier->requests, attempt->request);
 	target_t *target = mc_table_get(tier->targets, attempt->target);
+	service_t *service = mc_table_get(tier->services, attempt->service);
 
 	if (request) {
 		TAILQ_REMOVE(&request->attempts, attempt, request_entry);
 		request->parts[attempt->part].in_flight--;
 	}
 	if (target) {
-		service_t *service =
-			mc_table_get(tier->services, target->service);
-
 		TAILQ_REMOVE(&target->attempts, attempt, target_entry);
 		target->in_flight--;
-		if (service) {
-			service->in_flight--;
-			mc_drain_record(&service->drain,
-					mc_shard_now(tier->shard));
-		}
 	}
+	if (service) {
+		service->in_flight--;
+		mc_drain_record(&service->drain, mc_shard_now(tier->shard));
+	}
+	mc_counter_add(mc_shard_counters(tier->shard),
+		       MC_COUNTER_ATTEMPTS_ENDED, 1);
 	mc_table_remove(tier->attempts, attempt->handle);
 }
 
@@ -91,6 +92,7 @@
 		.handle = handle,
 		.request = request->handle,
 		.part = part->index,
+		.service = service->handle,
 		.target = target->handle,
 		.conn = conn->handle,
 		.sent_at = mc_shard_now(tier->shard),
--- a/src/tier/tier_private.h
+++ b/src/tier/tier_private.h
@@ -214,6 +214,7 @@
 	mc_handle_t handle;
 	mc_handle_t request;
 	uint32_t part;
+	mc_handle_t service;
 	mc_handle_t target;
 	mc_handle_t conn;
 	/* When it was sent or, later, its connection was established, ms. */
--- a/tests/system/trouble_test.c
+++ b/tests/system/trouble_test.c
@@ -30,6 +30,11 @@
 	OVERLOAD_DELAY_MS = 300,
 	/* Time between the starts of two callers, ms. */
 	OVERLOAD_RISE_MS = 10,
+	/* More requests than the searchers have slots, and the time until they
+	 * have arrived there, or an entry has been read, ms. */
+	LOST_CALLERS = 8,
+	LOST_MS = 600,
+	REPLACEMENTS = 2,
 	/* As many callers as the searchers have slots. */
 	PATIENT_CALLERS = 4,
 	PATIENT_REQUESTS = 40,
@@ -275,6 +280,60 @@
 	assert_int_equal(site_count_runs(site, answer.id), 0);
 }
 
+/* A caller whose request is lost. */
+static void *run_lost_caller(void *arg)
+{
+	site_send_request(arg, 0, "POST", "/long/x", TIME_LEFT_MS);
+	return NULL;
+}
+
+/* Both searchers start again while they are at work, and then close the
+ * connections of before. */
+static void replace_searchers(site_t *site)
+{
+	pthread_t callers[LOST_CALLERS];
+	int i;
+
+	for (i = 0; i < LOST_CALLERS; i++)
+		pthread_create(&callers[i], NULL, run_lost_caller, site);
+	harness_sleep(LOST_MS);
+	for (i = 0; i < SITE_SINGLE_REPLICAS; i++) {
+		searcher_restart(site->single_replicas[i]);
+		searcher_register(site->single_replicas[i], site->object_store,
+				  "ready");
+	}
+	harness_sleep(LOST_MS);
+	for (i = 0; i < SITE_SINGLE_REPLICAS; i++)
+		searcher_drop_connections(site->single_replicas[i]);
+	for (i = 0; i < LOST_CALLERS; i++)
+		pthread_join(callers[i], NULL);
+}
+
+static bool nothing_is_in_flight(void *ctx)
+{
+	return site_metric(ctx, 0, "mangocove_sub_queries_total") +
+		       site_metric(ctx, 0, "mangocove_extras_total") ==
+	       site_metric(ctx, 0, "mangocove_attempts_ended_total");
+}
+
+/*
+ * Targets that have been replaced lose their connections with requests in
+ * flight. If those still counted as in flight, the queue of their service would
+ * seem to empty faster with each replacement, and an overload would be refused
+ * too late.
+ */
+static void test_replaced_in_flight(void **state)
+{
+	site_t *site = *state;
+	int i;
+
+	for (i = 0; i < SITE_SINGLE_REPLICAS; i++)
+		searcher_set_delay(site->single_replicas[i], LONG_RUN_MS);
+	for (i = 0; i < REPLACEMENTS; i++)
+		replace_searchers(site);
+	harness_wait_until("nothing is in flight", nothing_is_in_flight, site);
+}
+
 /* A caller of test_connect_fails_at_once(). */
 static void *run_patient_caller(void *arg)
 {
@@ -339,6 +398,7 @@
 		TROUBLE_TEST(test_overload),
 		TROUBLE_TEST(test_sudden_overload),
 		TROUBLE_TEST(test_deadline_before_send),
+		TROUBLE_TEST(test_replaced_in_flight),
 		TROUBLE_TEST(test_connect_fails_at_once),
 	};
 
