tier: what one data shard hears of a target doesn't erase what another has heard

What targets would see: two data shards hear of a target at the same time, one that it names a limit, the other that it wants a pause or leaves. Each told the other all that it knew, which replaced what the other had just heard: the pause, the limit, or that it leaves, was forgotten until said again. (Seen in the source by the review; no run of real processes shows it.)

Change: what is told is merged: the latest limit, the longest pause, and the earliest time at which the target said that it leaves.

--- a/src/tier/target_notice.c
+++ b/src/tier/target_notice.c
@@ -132,6 +132,25 @@
 		remember_departure(tier, target);
 }
 
+target_notice_t target_notice_merge(const target_notice_t *own,
+				    const target_notice_t *other)
+{
+	target_notice_t merged = *own;
+
+	if (other->limit_changed_at > own->limit_changed_at) {
+		merged.has_rate_limit = other->has_rate_limit;
+		merged.rate_limit = other->rate_limit;
+		merged.limited_since = other->limited_since;
+		merged.limit_changed_at = other->limit_changed_at;
+	}
+	if (other->leaving_since &&
+	    (!own->leaving_since || other->leaving_since < own->leaving_since))
+		merged.leaving_since = other->leaving_since;
+	if (other->paused_until > own->paused_until)
+		merged.paused_until = other->paused_until;
+	return merged;
+}
+
 static void receive_notice(mc_shard_t *shard, void *arg)
 {
 	notice_update_t *update = arg;
@@ -141,9 +160,12 @@
 		tier ? apr_hash_get(tier->target_ids, update->target_id,
 				    APR_HASH_KEY_STRING)
 		     : NULL;
+	target_notice_t notice;
 
-	if (target && target->entry.started_at == update->started_at)
-		apply_notice(tier, target, &update->notice);
+	if (target && target->entry.started_at == update->started_at) {
+		notice = target_notice_merge(&target->notice, &update->notice);
+		apply_notice(tier, target, &notice);
+	}
 	free(update);
 }
 
@@ -196,6 +218,9 @@
 	}
 	if (notice.has_rate_limit && !former->has_rate_limit)
 		notice.limited_since = now;
+	if (notice.has_rate_limit != former->has_rate_limit ||
+	    notice.rate_limit != former->rate_limit)
+		notice.limit_changed_at = now;
 	if (response->leaving && !former->leaving_since)
 		notice.leaving_since = now;
 	if (pause && now + pause > former->paused_until)
--- a/src/tier/target_notice.h
+++ b/src/tier/target_notice.h
@@ -43,4 +43,16 @@
 /** target_notice_count() - Count the targets that this data shard knows */
 void target_notice_count(const tier_t *tier, target_notice_counts_t *counts);
 
+/**
+ * target_notice_merge() - Combine what two data shards have heard of a target
+ * @own: what this shard knows
+ * @other: what another one knows, which may have heard it earlier or later, and
+ *	not know what this one has heard meanwhile
+ *
+ * Return: the latest limit, the longest pause, and the earliest time at which
+ * the target said that it leaves.
+ */
+target_notice_t target_notice_merge(const target_notice_t *own,
+				    const target_notice_t *other);
+
 #endif
--- a/src/tier/tier_private.h
+++ b/src/tier/tier_private.h
@@ -125,6 +125,8 @@
 	double rate_limit;
 	/* Since when it names one, ms. */
 	mc_ms_t limited_since;
+	/* When it last named another limit, or none any more, ms. */
+	mc_ms_t limit_changed_at;
 	/* When it first said that it leaves, ms; 0 if it has not. */
 	mc_ms_t leaving_since;
 	/* It wants no requests until then, ms. */
