tier: a target's pause outlives the loss of its entry

That it leaves was remembered already.

Change: both are remembered by id and start time, until the pause ends or for an hour.

Measured: system_notice_pause_outlives_entry failed before (three requests in the pause after the entry had come back three times, two are allowed) and passes.

--- a/src/tier/target_notice.c
+++ b/src/tier/target_notice.c
@@ -1,7 +1,8 @@
 /*
  * What one data shard is told, the process's others are told at once, as a
- * target speaks to the whole process. That a target leaves outlives the removal
- * of its entry, as a list of the store that is older may bring the entry back.
+ * target speaks to the whole process. That a target leaves, or wants a pause,
+ * outlives the removal of its entry, which may come back: from a list of the
+ * store that is older, or with the next heartbeat of the target.
  */
 #include "target_notice.h"
 
@@ -20,12 +21,15 @@
 	PAUSE_MAX_MS = 600 * 1000,
 };
 
-/* A target that has said that it leaves. */
+/* What is remembered of a target whose entry may be lost for a while. */
 typedef struct {
 	char id[MC_REGISTRY_NAME_SIZE];
 	int64_t started_at;
-	mc_ms_t since;
-} departure_t;
+	/* Since when it leaves, ms; 0 if it has not said so. */
+	mc_ms_t leaving_since;
+	/* It wants no requests until then, ms. */
+	mc_ms_t paused_until;
+} kept_notice_t;
 
 /* What a target has said, posted to another data shard, which frees it. Times
  * are those of the sender's clock, which all shards share. */
@@ -36,63 +40,83 @@
 	target_notice_t notice;
 } notice_update_t;
 
-static departure_t *find_departure(const tier_t *tier, const char *id,
-				   int64_t started_at)
+static kept_notice_t *find_kept(const tier_t *tier, const char *id,
+				int64_t started_at)
 {
 	uint32_t cursor = 0;
 	mc_handle_t handle;
-	departure_t *departure;
+	kept_notice_t *kept;
 
-	while ((departure = mc_table_next(tier->departures, &cursor, &handle)))
-		if (departure->started_at == started_at &&
-		    !strcmp(departure->id, id))
-			return departure;
+	while ((kept = mc_table_next(tier->kept_notices, &cursor, &handle)))
+		if (kept->started_at == started_at && !strcmp(kept->id, id))
+			return kept;
 	return NULL;
 }
 
-static void forget_old_departures(tier_t *tier)
+static bool is_outdated(const kept_notice_t *kept, mc_ms_t now)
+{
+	return now > kept->paused_until &&
+	       (!kept->leaving_since ||
+		now - kept->leaving_since > DEPARTURE_TTL_MS);
+}
+
+static void forget_outdated(tier_t *tier)
 {
 	mc_ms_t now = mc_shard_now(tier->shard);
 	uint32_t cursor = 0;
 	mc_handle_t handle;
-	const departure_t *departure;
+	const kept_notice_t *kept;
 
-	while ((departure = mc_table_next(tier->departures, &cursor, &handle)))
-		if (now - departure->since > DEPARTURE_TTL_MS)
-			mc_table_remove(tier->departures, handle);
+	while ((kept = mc_table_next(tier->kept_notices, &cursor, &handle)))
+		if (is_outdated(kept, now))
+			mc_table_remove(tier->kept_notices, handle);
 }
 
-static void remember_departure(tier_t *tier, const target_t *target)
+/* Returns NULL if there is no room. */
+static kept_notice_t *add_kept(tier_t *tier, const target_t *target)
 {
-	departure_t *departure;
+	kept_notice_t *kept;
 	mc_handle_t handle;
 	void *slot;
 
-	if (find_departure(tier, target->entry.id, target->entry.started_at))
-		return;
-	forget_old_departures(tier);
-	if (mc_table_add(tier->departures, &handle, &slot))
+	forget_outdated(tier);
+	if (mc_table_add(tier->kept_notices, &handle, &slot))
+		return NULL;
+	kept = slot;
+	memcpy(kept->id, target->entry.id, sizeof(kept->id));
+	kept->started_at = target->entry.started_at;
+	return kept;
+}
+
+static void remember(tier_t *tier, const target_t *target)
+{
+	kept_notice_t *kept =
+		find_kept(tier, target->entry.id, target->entry.started_at);
+
+	if (!kept)
+		kept = add_kept(tier, target);
+	if (!kept)
 		return;
-	departure = slot;
-	memcpy(departure->id, target->entry.id, sizeof(departure->id));
-	departure->started_at = target->entry.started_at;
-	departure->since = target->notice.leaving_since;
+	kept->leaving_since = target->notice.leaving_since;
+	kept->paused_until = target->notice.paused_until;
 }
 
 mc_err_t target_notice_init(tier_t *tier)
 {
-	tier->departures =
-		mc_table_create(sizeof(departure_t), TIER_DEPARTURES_MAX);
-	return tier->departures ? MC_OK : MC_ERR_NO_MEMORY;
+	tier->kept_notices =
+		mc_table_create(sizeof(kept_notice_t), TIER_KEPT_NOTICES_MAX);
+	return tier->kept_notices ? MC_OK : MC_ERR_NO_MEMORY;
 }
 
 void target_notice_recall(tier_t *tier, target_t *target)
 {
-	const departure_t *departure = find_departure(tier, target->entry.id,
-						      target->entry.started_at);
+	const kept_notice_t *kept =
+		find_kept(tier, target->entry.id, target->entry.started_at);
 
-	if (departure)
-		target->notice.leaving_since = departure->since;
+	if (!kept)
+		return;
+	target->notice.leaving_since = kept->leaving_since;
+	target->notice.paused_until = kept->paused_until;
 }
 
 static void log_change(const tier_t *tier, const target_t *target,
@@ -128,8 +152,9 @@
 		target->rate_share.taken_at =
 			mc_clock_wall(mc_shard_clock(tier->shard));
 	target->notice = *notice;
-	if (notice->leaving_since)
-		remember_departure(tier, target);
+	if (notice->leaving_since ||
+	    notice->paused_until > mc_shard_now(tier->shard))
+		remember(tier, target);
 }
 
 target_notice_t target_notice_merge(const target_notice_t *own,
--- a/src/tier/tier.c
+++ b/src/tier/tier.c
@@ -54,7 +54,7 @@
 	mc_table_destroy(tier->conns);
 	mc_table_destroy(tier->attempts);
 	mc_table_destroy(tier->requests);
-	mc_table_destroy(tier->departures);
+	mc_table_destroy(tier->kept_notices);
 	mc_registry_view_unref(tier->view);
 	free(tier->map_services);
 	if (tier->pool)
--- a/src/tier/tier_private.h
+++ b/src/tier/tier_private.h
@@ -28,8 +28,9 @@
 	TIER_REQUESTS_MAX = 16384,
 	TIER_ATTEMPTS_MAX = 1 << 20,
 	TIER_CONNS_MAX = 16384,
-	/* Maximum number of targets of which is remembered that they left. */
-	TIER_DEPARTURES_MAX = 4096,
+	/* Maximum number of targets of which is remembered that they left or
+	 * want a pause. */
+	TIER_KEPT_NOTICES_MAX = 4096,
 	/* Number of wait queues per service, one per priority of a route; less
 	 * urgent priorities share the last one. */
 	TIER_PRIORITIES = 8,
@@ -354,8 +355,8 @@
 	mc_table_t *requests;
 	/* Requests that have ended in this turn and are freed at its end. */
 	struct request_list_t ended;
-	/* Targets that have said that they leave. */
-	mc_table_t *departures;
+	/* What is remembered of targets whose entries may be lost. */
+	mc_table_t *kept_notices;
 	apr_pool_t *pool;
 	apr_hash_t *service_names;
 	apr_hash_t *target_ids;
--- a/tests/system/notice_test.c
+++ b/tests/system/notice_test.c
@@ -186,6 +186,29 @@
 	assert_true(requests_at(site, 0) > before);
 }
 
+/* The entry of a searcher that has asked for a pause goes and comes back: the
+ * pause goes on. */
+static void test_pause_outlives_entry(void **state)
+{
+	site_t *site = *state;
+	searcher_t *searcher = site->single_replicas[0];
+	uint32_t before;
+	int i;
+
+	ask_for_pause(site, 0, "60");
+	send_for(site, PAUSE_OBEY_MS);
+	before = requests_at(site, 0);
+	assert_true(before > 0);
+	for (i = 0; i < PAUSE_REQUESTS + 1; i++) {
+		object_store_remove(site->object_store, "servers",
+				    searcher_id(searcher));
+		send_for(site, DRAIN_MS);
+		searcher_register(searcher, site->object_store, "ready");
+		send_for(site, MS_PER_S);
+	}
+	assert_true(requests_at(site, 0) - before <= PAUSE_REQUESTS);
+}
+
 /* Where all searchers ask for a pause, requests are refused at once, and
  * callers are told to come back at different times after it. */
 static void test_all_pause(void **state)
@@ -222,6 +245,7 @@
 		NOTICE_TEST(test_old_entry_after_leaving),
 		NOTICE_TEST(test_last_searchers_leave),
 		NOTICE_TEST(test_pause),
+		NOTICE_TEST(test_pause_outlives_entry),
 		NOTICE_TEST(test_all_pause),
 	};
 
