platform: numbers of a target's entry are within what the tier can count

What callers would see: an entry of another writer with warmupLeftMs 1e300 or 2^32 slots counts as warm at once, or as one without slots: the numbers were cast to types that can't hold them, or overflow when added to the time.

--- a/tests/unit/platform_test.c
+++ b/tests/unit/platform_test.c
@@ -118,6 +118,11 @@
 	", \"warmupLeftMs\": " warmup_left ", \"seq\": " seq                  \
 	", \"born\": " born "}"
 
+#define TARGET_WITH_SLOTS(slots)                                              \
+	"{\"backend\": \"a\", \"address\": \"10.0.0.9:80\", \"zone\": \"n\"," \
+	" \"version\": \"v1\", \"slots\": " slots ", \"state\": \"ready\","   \
+	" \"warmupLeftMs\": 0, \"seq\": 4, \"born\": 1}"
+
 static mc_err_t decode_entry(const char *text, mc_target_entry_t *entry)
 {
 	json_t *json = json_loads(text, JSON_DECODE_ANY, NULL);
@@ -162,6 +167,36 @@
 				 MC_ERR_BAD_REQUEST);
 }
 
+/* A number that no clock can hold must not overflow when it is added to the
+ * time: the target would count as warm at once. */
+static void test_target_numbers(void **state)
+{
+	static const char *const bad[] = {
+		TARGET("\"ready\"", "0", "-1", "1"),
+		TARGET("\"ready\"", "0", "4", "-1"),
+		TARGET_WITH_SLOTS("0"),
+		TARGET_WITH_SLOTS("4294967296"),
+	};
+	mc_target_entry_t entry;
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < MC_ARRAY_LEN(bad); i++)
+		assert_int_equal(decode_entry(bad[i], &entry),
+				 MC_ERR_BAD_REQUEST);
+	assert_int_equal(
+		decode_entry(TARGET("\"ready\"", "1e300", "4", "1"), &entry),
+		MC_OK);
+	assert_in_range(entry.warmup_left, 1, INT32_MAX);
+	assert_int_equal(
+		decode_entry(TARGET("\"ready\"", "-1e300", "4", "1"), &entry),
+		MC_OK);
+	assert_int_equal(entry.warmup_left, 0);
+	assert_int_equal(decode_entry(TARGET_WITH_SLOTS("65536"), &entry),
+			 MC_OK);
+	assert_int_equal(entry.slots, 65536);
+}
+
 #define TARGET_AT(address)                                                    \
 	"{\"backend\": \"a\", \"address\": \"" address "\", \"zone\": \"n\"," \
 	" \"version\": \"v1\", \"slots\": 2, \"state\": \"ready\","           \
@@ -586,6 +621,7 @@
 		cmocka_unit_test(test_routemap_rejects_invalid),
 		cmocka_unit_test(test_target),
 		cmocka_unit_test(test_target_address),
+		cmocka_unit_test(test_target_numbers),
 		cmocka_unit_test(test_rollout),
 		cmocka_unit_test(test_evidence),
 		cmocka_unit_test(test_relayed_changes),
