tier: while a route's latency is unknown, only own requests count for its bound

Cause: the bound counted the requests of other senders too, from the targets' reports. Where many instances have few requests each, one of them knows no latency of a route for long, and found targets full that were not.

Change: that bound counts the sender's own requests, as its purpose is that none of them waits there; the bound of three per slot counts all, as before.

--- a/src/tier/select.c
+++ b/src/tier/select.c
@@ -17,9 +17,6 @@
 	/* Requests at a target, running or queued, per slot. More would wait
 	 * there, where urgent ones can't overtake them. */
 	LOAD_PER_SLOT_MAX = 3,
-	/* The same while it is unknown how long a request of the route takes:
-	 * none should have to wait there. */
-	LOAD_PER_SLOT_UNKNOWN_MAX = 1,
 };
 
 static bool was_tried(const part_t *part, mc_handle_t target)
@@ -43,16 +40,17 @@
 }
 
 /* A target whose queue is long by its own report gets another request only from
- * a sender that has none there. */
+ * a sender that has none there. While it is unknown how long a request of the
+ * route takes, a sender has no more of them there than the target has slots. */
 static bool has_room(const target_t *target, const route_stats_t *stats,
 		     mc_ms_t now)
 {
 	bool is_known = stats && stats->median.value > 0;
 
-	return !target->in_flight ||
-	       relative_load(target, now) <
-		       (is_known ? LOAD_PER_SLOT_MAX
-				 : LOAD_PER_SLOT_UNKNOWN_MAX);
+	if (!target->in_flight)
+		return true;
+	return relative_load(target, now) < LOAD_PER_SLOT_MAX &&
+	       (is_known || target->in_flight < target->entry.slots);
 }
 
 bool select_is_excluded(const part_t *part, const target_t *target)
