--- a/src/base/crash.c
+++ b/src/base/crash.c
@@ -41,14 +41,6 @@
 	return "-";
 }
 
-static char *append_text(char *at, const char *text)
-{
-	size_t size = strlen(text);
-
-	memcpy(at, text, size);
-	return at + size;
-}
-
 static char *append_number(char *at, uint64_t value, unsigned int base,
 			   size_t digits_min)
 {
@@ -69,7 +61,7 @@
 {
 	mc_ms_t now = mc_clock_wall(mc_clock_system());
 
-	at = append_text(at, "ts=");
+	at = stpcpy(at, "ts=");
 	at = append_number(at, (uint64_t)(now / MS_PER_S), DECIMAL, 1);
 	*at++ = '.';
 	return append_number(at, (uint64_t)(now % MS_PER_S), DECIMAL,
@@ -91,12 +83,12 @@
 
 	(void)context;
 	at = append_time(at);
-	at = append_text(at, " level=error part=process msg=\"process ended by "
-			     "a signal\" signal=");
-	at = append_text(at, signal_name(number));
-	at = append_text(at, " address=0x");
+	at = stpcpy(at, " level=error part=process msg=\"process ended by "
+			"a signal\" signal=");
+	at = stpcpy(at, signal_name(number));
+	at = stpcpy(at, " address=0x");
 	at = append_number(at, (uintptr_t)info->si_addr, HEXADECIMAL, 1);
-	at = append_text(at, "\n");
+	at = stpcpy(at, "\n");
 	mc_log_write_crash(crash_log, line, (size_t)(at - line));
 	print_stack();
 	/* The default action was restored when the handler was entered. */
