runtime: a shutdown logs its signals, how much is in flight, and how it ended

A request that was in flight when the process ended left no line in the log, and a planned stop had a first line and no last one.

Now the log has the requests and connections at the signal, when no further work is accepted, and at the end; each further signal with its time; the reason of the end; and a line for each request that the process leaves unanswered. The roles count their unfinished work instead of saying whether they are idle.

--- a/src/front/front.c
+++ b/src/front/front.c
@@ -277,11 +277,14 @@
 		     on_linger_end, front, &timer);
 }
 
-static bool front_is_idle(void *state)
+/* Connections may bring a request until the linger time is over. */
+static void front_count_work(const void *state, mc_runtime_work_t *work)
 {
 	const front_t *front = state;
 
-	return front->linger_elapsed && !mc_http_exchange_count(front->shard);
+	work->requests += mc_http_exchange_count(front->shard);
+	if (!front->linger_elapsed)
+		work->connections++;
 }
 
 const mc_role_ops_t *mc_front_ops(void)
@@ -295,7 +298,7 @@
 		.confirm_view = front_confirm_view,
 		.drain = front_drain,
 		.stop_accepting = front_close,
-		.is_idle = front_is_idle,
+		.count_work = front_count_work,
 	};
 
 	return &ops;
--- a/src/gather/gather.c
+++ b/src/gather/gather.c
@@ -85,12 +85,12 @@
 	mc_link_stop_listening(gather->shard, gather->listener);
 }
 
-static bool gather_is_idle(void *state)
+static void gather_count_work(const void *state, mc_runtime_work_t *work)
 {
 	const gather_t *gather = state;
 
-	return !mc_table_count(gather->sub_queries) &&
-	       !gather->batches_in_flight && !gather->runs_in_flight;
+	work->requests += mc_table_count(gather->sub_queries) +
+			  gather->batches_in_flight + gather->runs_in_flight;
 }
 
 const mc_role_ops_t *mc_gather_ops(void)
@@ -104,7 +104,7 @@
 		.confirm_view = gather_confirm_view,
 		.drain = gather_drain,
 		.stop_accepting = gather_close,
-		.is_idle = gather_is_idle,
+		.count_work = gather_count_work,
 	};
 
 	return &ops;
--- a/src/process/include/mc/process.h
+++ b/src/process/include/mc/process.h
@@ -23,8 +23,8 @@
  * @drain: a planned stop begins; runs on the shard
  * @stop_accepting: refuse new requests from now on; runs on the shard, some
  *	time after @drain
- * @is_idle: returns whether no request is in flight; called with the shard's
- *	lock held
+ * @count_work: adds what is unfinished to @work; called with the shard's lock
+ *	held
  */
 typedef struct mc_role_ops_t {
 	const char *name;
@@ -36,7 +36,7 @@
 			     mc_ms_t config_confirmed_at);
 	void (*drain)(void *state);
 	void (*stop_accepting)(void *state);
-	bool (*is_idle)(void *state);
+	void (*count_work)(const void *state, mc_runtime_work_t *work);
 } mc_role_ops_t;
 
 /**
--- a/src/process/process.c
+++ b/src/process/process.c
@@ -162,7 +162,7 @@
 		.begin_shutdown = announce_leave,
 		.drain = ops->drain,
 		.stop_accepting = ops->stop_accepting,
-		.is_idle = ops->is_idle,
+		.count_work = ops->count_work,
 	};
 	mc_process_t process = {
 		.ops = ops,
--- a/src/runtime/include/mc/runtime.h
+++ b/src/runtime/include/mc/runtime.h
@@ -16,6 +16,17 @@
 
 typedef struct mc_runtime_t mc_runtime_t;
 
+/**
+ * struct mc_runtime_work_t - Work that a process has not finished
+ * @requests: requests in flight
+ * @connections: open connections on which a request may still arrive, or the
+ *	end of a response is on its way
+ */
+typedef struct mc_runtime_work_t {
+	uint32_t requests;
+	uint32_t connections;
+} mc_runtime_work_t;
+
 /**
  * struct mc_runtime_ops_t - Functions of a role
  * @name: name for logs
@@ -30,8 +41,8 @@
  * @drain: a graceful shutdown begins; called on each data shard
  * @stop_accepting: accept no new work; called on each data shard, after the
  *	notice period that follows @drain
- * @is_idle: whether nothing is in flight; called with the data shard's lock
- *	held
+ * @count_work: add what the data shard has not finished to @work; called with
+ *	the shard's lock held
  * @reload: SIGHUP was received; called on the main thread; may be NULL
  * @tick: called about every second on the main thread; may be NULL
  */
@@ -45,7 +56,7 @@
 	void (*begin_shutdown)(void *role);
 	void (*drain)(void *state);
 	void (*stop_accepting)(void *state);
-	bool (*is_idle)(void *state);
+	void (*count_work)(const void *state, mc_runtime_work_t *work);
 	void (*reload)(void *role);
 	void (*tick)(void *role);
 } mc_runtime_ops_t;
--- a/src/runtime/runtime.c
+++ b/src/runtime/runtime.c
@@ -123,17 +123,24 @@
 		mc_shard_destroy(runtime->shards[i]);
 }
 
-static bool all_idle(mc_runtime_t *runtime)
+static mc_runtime_work_t count_work(mc_runtime_t *runtime)
 {
-	bool idle = true;
+	mc_runtime_work_t work = { 0 };
 	uint32_t i;
 
 	for (i = 0; i < runtime->params.shard_count; i++) {
 		mc_shard_lock(runtime->shards[i]);
-		idle = idle && runtime->params.ops->is_idle(runtime->states[i]);
+		runtime->params.ops->count_work(runtime->states[i], &work);
 		mc_shard_unlock(runtime->shards[i]);
 	}
-	return idle;
+	return work;
+}
+
+static bool is_idle(mc_runtime_t *runtime)
+{
+	mc_runtime_work_t work = count_work(runtime);
+
+	return !work.requests && !work.connections;
 }
 
 /* Waits at most @wait ms for a signal. Returns its number, or 0. */
@@ -149,51 +156,141 @@
 	return caught > 0 ? caught : 0;
 }
 
+/* A graceful shutdown. */
+typedef struct {
+	mc_runtime_t *runtime;
+	const sigset_t *signals;
+	mc_ms_t start;
+	/* Counters at the start. */
+	mc_counters_t before;
+} shutdown_t;
+
+static mc_ms_t elapsed(const shutdown_t *stop)
+{
+	return mc_clock_now(mc_clock_system()) - stop->start;
+}
+
+static void log_signal(const shutdown_t *stop, int caught)
+{
+	const mc_runtime_params_t *params = &stop->runtime->params;
+
+	mc_log(params->log, MC_LOG_NOTICE, params->ops->name,
+	       "signal received during the shutdown signal=%s ms=%lld",
+	       sigabbrev_np(caught), (long long)elapsed(stop));
+}
+
 /*
- * Waits @wait ms during a shutdown. Returns true at once on SIGINT, with which
- * somebody at a terminal ends the process without further delay. SIGTERM and
- * SIGHUP have no effect: whoever stops processes may say so more than once, and
- * the requests in flight still need their answers.
+ * Waits @wait ms. Returns true at once on SIGINT, with which somebody at a
+ * terminal ends the process without further delay. SIGTERM and SIGHUP have no
+ * effect: whoever stops processes may say so more than once, and the requests
+ * in flight still need their answers.
  */
-static bool wait_interrupt(const sigset_t *signals, mc_ms_t wait)
+static bool wait_interrupt(const shutdown_t *stop, mc_ms_t wait)
 {
 	const mc_clock_t *clock = mc_clock_system();
 	mc_ms_t end = mc_clock_now(clock) + wait;
 	int caught;
 
 	do {
-		caught = wait_signal(signals, end - mc_clock_now(clock));
+		caught = wait_signal(stop->signals, end - mc_clock_now(clock));
+		if (caught)
+			log_signal(stop, caught);
 	} while (caught && caught != SIGINT && mc_clock_now(clock) < end);
 	return caught == SIGINT;
 }
 
-static void shut_down(mc_runtime_t *runtime, const sigset_t *signals)
+static void log_start(const shutdown_t *stop)
+{
+	const mc_runtime_params_t *params = &stop->runtime->params;
+	mc_runtime_work_t work = count_work(stop->runtime);
+
+	mc_log(params->log, MC_LOG_NOTICE, params->ops->name,
+	       "graceful shutdown started grace_ms=%lld notice_ms=%lld "
+	       "requests=%u connections=%u",
+	       (long long)params->grace_period,
+	       (long long)params->notice_period, work.requests,
+	       work.connections);
+}
+
+static void log_work(const shutdown_t *stop, const char *event)
+{
+	const mc_runtime_params_t *params = &stop->runtime->params;
+	mc_runtime_work_t work = count_work(stop->runtime);
+
+	mc_log(params->log, MC_LOG_NOTICE, params->ops->name,
+	       "%s ms=%lld requests=%u connections=%u", event,
+	       (long long)elapsed(stop), work.requests, work.connections);
+}
+
+static unsigned long long counted(const shutdown_t *stop,
+				  const mc_counters_t *now,
+				  mc_counter_id_t counter)
+{
+	return now->values[counter] - stop->before.values[counter];
+}
+
+/* Requests that are still in flight get no answer. */
+static void log_end(const shutdown_t *stop, const char *reason)
+{
+	const mc_runtime_params_t *params = &stop->runtime->params;
+	mc_runtime_work_t work = count_work(stop->runtime);
+	mc_counters_t now;
+
+	mc_runtime_sum_counters(stop->runtime, &now);
+	mc_log(params->log, work.requests ? MC_LOG_WARNING : MC_LOG_NOTICE,
+	       params->ops->name,
+	       "graceful shutdown ended reason=%s ms=%lld received=%llu "
+	       "answered=%llu refused=%llu callers_gone=%llu unanswered=%u "
+	       "connections=%u",
+	       reason, (long long)elapsed(stop),
+	       counted(stop, &now, MC_COUNTER_REQUESTS),
+	       counted(stop, &now, MC_COUNTER_ANSWERS),
+	       counted(stop, &now, MC_COUNTER_REFUSALS),
+	       counted(stop, &now, MC_COUNTER_CALLERS_GONE), work.requests,
+	       work.connections);
+}
+
+/* Waits until no work is left. Returns the reason why the process ends. */
+static const char *finish_work(const shutdown_t *stop, mc_ms_t end)
+{
+	while (mc_clock_now(mc_clock_system()) < end) {
+		if (wait_interrupt(stop, IDLE_CHECK_INTERVAL_MS))
+			return "interrupted";
+		if (is_idle(stop->runtime))
+			return "idle";
+	}
+	return "grace_period_over";
+}
+
+static const char *run_shutdown(const shutdown_t *stop)
 {
+	mc_runtime_t *runtime = stop->runtime;
 	const mc_runtime_params_t *params = &runtime->params;
-	const mc_clock_t *clock = mc_clock_system();
 	mc_ms_t grace = params->grace_period;
-	mc_ms_t end;
 
 	if (grace > GRACE_RESERVE_MS * 2)
 		grace -= GRACE_RESERVE_MS;
-	end = mc_clock_now(clock) + grace;
-	mc_log(params->log, MC_LOG_NOTICE, params->ops->name,
-	       "graceful shutdown started grace_ms=%lld notice_ms=%lld",
-	       (long long)params->grace_period,
-	       (long long)params->notice_period);
 	if (params->ops->begin_shutdown)
 		params->ops->begin_shutdown(params->role);
 	post_to_all(runtime, params->ops->drain);
-	if (wait_interrupt(signals, params->notice_period))
-		return;
+	if (wait_interrupt(stop, params->notice_period))
+		return "interrupted";
+	log_work(stop, "no further work is accepted");
 	post_to_all(runtime, params->ops->stop_accepting);
-	while (mc_clock_now(clock) < end) {
-		if (wait_interrupt(signals, IDLE_CHECK_INTERVAL_MS) ||
-		    all_idle(runtime))
-			return;
-	}
-	mc_log(params->log, MC_LOG_WARNING, params->ops->name,
-	       "grace period ended with requests in flight; stopping anyway");
+	return finish_work(stop, stop->start + grace);
+}
+
+static void shut_down(mc_runtime_t *runtime, const sigset_t *signals)
+{
+	shutdown_t stop = {
+		.runtime = runtime,
+		.signals = signals,
+		.start = mc_clock_now(mc_clock_system()),
+	};
+
+	mc_runtime_sum_counters(runtime, &stop.before);
+	log_start(&stop);
+	log_end(&stop, run_shutdown(&stop));
 }
 
 static void run_until_stopped(mc_runtime_t *runtime, const sigset_t *signals)
--- a/src/tier/finish.c
+++ b/src/tier/finish.c
@@ -92,20 +92,6 @@
 		       mc_last_error_message());
 }
 
-void requests_free(tier_t *tier)
-{
-	uint32_t cursor = 0;
-	mc_handle_t handle;
-	request_t *request;
-
-	while (tier->requests &&
-	       (request = mc_table_next(tier->requests, &cursor, &handle))) {
-		if (begin_end(request))
-			cancel_work(request);
-		request_free(request);
-	}
-}
-
 /* Logs one line per request. Complete successes are logged at debug level, as
  * they are the first lines to suppress. */
 static void log_outcome(const request_t *request, const char *outcome)
@@ -240,3 +226,19 @@
 	count_outcome(request, METRICS_CALLER_GONE);
 	close_request(request);
 }
+
+void requests_free(tier_t *tier)
+{
+	uint32_t cursor = 0;
+	mc_handle_t handle;
+	request_t *request;
+
+	while (tier->requests &&
+	       (request = mc_table_next(tier->requests, &cursor, &handle))) {
+		if (begin_end(request)) {
+			log_outcome(request, "unanswered");
+			cancel_work(request);
+		}
+		request_free(request);
+	}
+}
--- a/src/tier/tier.c
+++ b/src/tier/tier.c
@@ -245,12 +245,12 @@
 	mc_h1_close_idle(tier->h1);
 }
 
-static bool tier_is_idle(void *state)
+static void tier_count_work(const void *state, mc_runtime_work_t *work)
 {
 	const tier_t *tier = state;
 
-	return !mc_table_count(tier->requests) &&
-	       !mc_h1_server_connection_count(tier->h1);
+	work->requests += mc_table_count(tier->requests);
+	work->connections += mc_h1_server_connection_count(tier->h1);
 }
 
 static const mc_runtime_ops_t runtime_ops = {
@@ -261,7 +261,7 @@
 	.destroy_state = tier_destroy,
 	.drain = tier_drain,
 	.stop_accepting = tier_stop_accepting,
-	.is_idle = tier_is_idle,
+	.count_work = tier_count_work,
 	.reload = reload_settings,
 	.tick = reload_if_changed,
 };
