tests: requests that a stop leaves without an answer, and half-closed connections

Seen: requests in flight at the end of the grace period and on SIGINT (8 of 8 closed without an answer), pipelined requests during a stop (1 of 3 answered), a caller that shuts down its sending side (no answer).

--- a/tests/system/stop_test.c
+++ b/tests/system/stop_test.c
@@ -29,6 +29,11 @@
 	SLOW_REQUESTS = 4,
 	SLOW_MS = 800,
 	SIGNALS = 8,
+	/* Longer than what is left of the grace period, and the time limit of
+	 * the requests that take so long, ms. */
+	OUTLASTING_MS = 4500,
+	/* Requests sent in one write. */
+	PIPELINED = 3,
 	LOG_SIZE = 1 << 20,
 	LOG_PATH_SIZE = 512,
 };
@@ -37,6 +42,11 @@
 			      "Mangocove-Attempt-Id: stop\r\n"
 			      "Mangocove-Deadline-Ms: 1900\r\n\r\n";
 
+static const char outlasting_request[] =
+	"POST /long/x HTTP/1.1\r\nHost: site.example\r\n"
+	"Mangocove-Attempt-Id: stop\r\nMangocove-Deadline-Ms: 9000\r\n"
+	"Content-Length: 0\r\n\r\n";
+
 /* Each test case that runs in parallel uses its own directory. */
 static const char *site_name = "stop";
 
@@ -171,6 +181,14 @@
 		harness_stop(site->harness, site->instances[0].process, 0), 0);
 }
 
+static void set_delays(const site_t *site, mc_ms_t delay)
+{
+	int i;
+
+	for (i = 0; i < SITE_SINGLE_REPLICAS; i++)
+		searcher_set_delay(site->single_replicas[i], delay);
+}
+
 /* SIGTERM comes again and again while requests are in flight: none is cut off,
  * and the notice period is not cut short. */
 static void test_repeated_signals(void **state)
@@ -179,8 +197,7 @@
 	mc_handle_t process = site->instances[0].process;
 	int fds[CONNECTIONS], i;
 
-	for (i = 0; i < SITE_SINGLE_REPLICAS; i++)
-		searcher_set_delay(site->single_replicas[i], SLOW_MS);
+	set_delays(site, SLOW_MS);
 	open_connections(site, fds);
 	send_requests(fds);
 	for (i = 0; i < SIGNALS; i++) {
@@ -193,6 +210,120 @@
 	assert_int_equal(harness_stop(site->harness, process, 0), 0);
 }
 
+/* Sends requests that outlast the grace period and waits until they run. */
+static void start_outlasting_requests(const site_t *site, int *fds)
+{
+	int i;
+
+	set_delays(site, OUTLASTING_MS);
+	open_connections(site, fds);
+	for (i = 0; i < CONNECTIONS; i++)
+		assert_true(raw_send(fds[i], outlasting_request));
+	harness_sleep(SLOW_MS / 2);
+}
+
+/* Reads one complete response of each connection: a request that may have run
+ * gets no status that promises that it has not. */
+static void read_unknown_outcomes(const int *fds)
+{
+	int i, status;
+
+	for (i = 0; i < CONNECTIONS; i++) {
+		status = read_status(fds[i]);
+		assert_true(status == 502 || status == 504);
+	}
+}
+
+/* Requests that are still in flight when the grace period ends are answered
+ * before the process exits, instead of being cut off. */
+static void test_answers_at_end_of_grace_period(void **state)
+{
+	site_t *site = *state;
+	mc_handle_t process = site->instances[0].process;
+	int fds[CONNECTIONS];
+
+	start_outlasting_requests(site, fds);
+	harness_signal(site->harness, process, SIGTERM);
+	read_unknown_outcomes(fds);
+	close_connections(fds);
+	assert_int_equal(harness_stop(site->harness, process, 0), 0);
+}
+
+/* SIGINT during a stop ends the process without further delay, but not without
+ * answers to the requests in flight. */
+static void test_answers_when_interrupted(void **state)
+{
+	site_t *site = *state;
+	mc_handle_t process = site->instances[0].process;
+	int fds[CONNECTIONS];
+
+	start_outlasting_requests(site, fds);
+	harness_signal(site->harness, process, SIGTERM);
+	site_wait_ready(site, 0, false);
+	harness_signal(site->harness, process, SIGINT);
+	read_unknown_outcomes(fds);
+	close_connections(fds);
+	assert_int_equal(harness_stop(site->harness, process, 0), 0);
+}
+
+/* Reads to the end of the stream and counts the successful responses. */
+static int count_successes(int fd)
+{
+	char text[RAW_HEAD_MAX];
+	const char *at = text;
+	size_t used = 0;
+	ssize_t count;
+	int successes = 0;
+
+	while (used < sizeof(text) - 1 &&
+	       (count = recv(fd, text + used, sizeof(text) - 1 - used, 0)) > 0)
+		used += (size_t)count;
+	text[used] = '\0';
+	while ((at = strstr(at, "HTTP/1.1 200 "))) {
+		successes++;
+		at++;
+	}
+	return successes;
+}
+
+/* Requests that were pipelined behind one in flight when the stop begins have
+ * been read, so they are answered before the connection is closed. */
+static void test_answers_pipelined_requests(void **state)
+{
+	site_t *site = *state;
+	mc_handle_t process = site->instances[0].process;
+	char requests[PIPELINED * sizeof(request)] = "";
+	int fds[CONNECTIONS], i;
+
+	for (i = 0; i < PIPELINED; i++)
+		strcat(requests, request);
+	set_delays(site, SLOW_MS / 4);
+	open_connections(site, fds);
+	for (i = 0; i < CONNECTIONS; i++)
+		assert_true(raw_send(fds[i], requests));
+	harness_signal(site->harness, process, SIGTERM);
+	for (i = 0; i < CONNECTIONS; i++)
+		assert_int_equal(count_successes(fds[i]), PIPELINED);
+	close_connections(fds);
+	assert_int_equal(harness_stop(site->harness, process, 0), 0);
+}
+
+/* A caller that shuts down its sending side after its request still reads, and
+ * is not taken for one that has left. */
+static void test_answers_half_closed_connection(void **state)
+{
+	site_t *site = *state;
+	int fds[CONNECTIONS], i;
+
+	set_delays(site, SLOW_MS / 4);
+	open_connections(site, fds);
+	send_requests(fds);
+	for (i = 0; i < CONNECTIONS; i++)
+		shutdown(fds[i], SHUT_WR);
+	read_responses(fds);
+	close_connections(fds);
+}
+
 static void read_log(const site_t *site, char *text, size_t size)
 {
 	char path[LOG_PATH_SIZE];
@@ -234,6 +365,10 @@
 		STOP_TEST(test_answers_accepted_requests),
 		STOP_TEST(test_answers_first_request),
 		STOP_TEST(test_repeated_signals),
+		STOP_TEST(test_answers_at_end_of_grace_period),
+		STOP_TEST(test_answers_when_interrupted),
+		STOP_TEST(test_answers_pipelined_requests),
+		STOP_TEST(test_answers_half_closed_connection),
 		STOP_TEST(test_fatal_signal_is_logged),
 	};
 
