tier: requests still in flight at the end of a stop are answered

What callers saw: a request that took longer than what was left of the grace period ended with a closed connection, and so did all requests when SIGINT came during a stop. A caller can't tell whether it has run, and the log didn't name it.

Cause: the process ended with requests in flight, and freeing them at exit answers nobody. The end of the grace period was known to the main thread alone.

Change: a shutdown tells its data shards by when each request must be answered, 0.3 s before the end of the grace period; that bounds the deadlines of requests in flight and of those that still come, so they end in the usual way: 502 or 504 if they may have run, 503 with Retry-After if not, or a merged answer that has its least share. 0.2 s are left for the responses to leave and 0.1 s for the exit, together as much as before. SIGINT brings the time forward to now.

The number of requests that searchers run isn't fixed (4 or 5 of 8), so the tests compare with what the searchers received.

--- a/src/front/front.c
+++ b/src/front/front.c
@@ -252,10 +252,11 @@
 	front->config_confirmed_at = config_confirmed;
 }
 
-static void front_drain(void *state)
+static void front_drain(void *state, mc_ms_t answer_by)
 {
 	front_t *front = state;
 
+	(void)answer_by;
 	front->draining = true;
 }
 
--- a/src/gather/gather.c
+++ b/src/gather/gather.c
@@ -72,9 +72,10 @@
 	gather->paused = false;
 }
 
-static void gather_drain(void *state)
+static void gather_drain(void *state, mc_ms_t answer_by)
 {
 	(void)state;
+	(void)answer_by;
 }
 
 static void gather_close(void *state)
--- a/src/process/include/mc/process.h
+++ b/src/process/include/mc/process.h
@@ -20,7 +20,9 @@
  * @destroy_state: frees the state, after the threads of all shards have ended
  * @set_view: receives a new view and owns a reference to it; runs on the shard
  * @confirm_view: the last view is still up to date; runs on the shard
- * @drain: a planned stop begins; runs on the shard
+ * @drain: a planned stop begins, and each request must be answered by
+ *	@answer_by, ms; runs on the shard, and again with an earlier time if the
+ *	process has to end sooner
  * @stop_accepting: refuse new requests from now on; runs on the shard, some
  *	time after @drain
  * @count_work: adds what is unfinished to @work; called with the shard's lock
@@ -34,7 +36,7 @@
 	void (*set_view)(void *state, const mc_view_t *view);
 	void (*confirm_view)(void *state, mc_ms_t now,
 			     mc_ms_t config_confirmed_at);
-	void (*drain)(void *state);
+	void (*drain)(void *state, mc_ms_t answer_by);
 	void (*stop_accepting)(void *state);
 	void (*count_work)(const void *state, mc_runtime_work_t *work);
 } mc_role_ops_t;
--- a/src/runtime/include/mc/runtime.h
+++ b/src/runtime/include/mc/runtime.h
@@ -3,7 +3,8 @@
  * has a control shard and a fixed number of data shards; the role of the
  * process keeps a state for each data shard. The runtime runs until SIGTERM or
  * SIGINT and then shuts down gracefully: it stops when no request is in flight
- * any more, when the grace period ends, or on a second signal.
+ * any more, or when the grace period ends. Each request that it has read gets an
+ * answer: those still in flight shortly before the end get an error.
  */
 #ifndef MC_RUNTIME_H
 #define MC_RUNTIME_H
@@ -38,7 +39,9 @@
  * @destroy_state: free the state of a data shard; no shard runs any more
  * @begin_shutdown: a graceful shutdown begins; called on the main thread; may
  *	be NULL
- * @drain: a graceful shutdown begins; called on each data shard
+ * @drain: a graceful shutdown begins, and each request must be answered by
+ *	@answer_by, ms; called on each data shard, and again with an earlier
+ *	time if the process has to end sooner
  * @stop_accepting: accept no new work; called on each data shard, after the
  *	notice period that follows @drain
  * @count_work: add what the data shard has not finished to @work; called with
@@ -54,7 +57,7 @@
 			      mc_shard_t *shard);
 	void (*destroy_state)(void *state);
 	void (*begin_shutdown)(void *role);
-	void (*drain)(void *state);
+	void (*drain)(void *state, mc_ms_t answer_by);
 	void (*stop_accepting)(void *state);
 	void (*count_work)(const void *state, mc_runtime_work_t *work);
 	void (*reload)(void *role);
--- a/src/runtime/runtime.c
+++ b/src/runtime/runtime.c
@@ -11,9 +11,12 @@
 enum {
 	IDLE_CHECK_INTERVAL_MS = 20,
 	TICK_INTERVAL_MS = 1000,
-	/* Part of the grace period that is left for the exit of the process,
-	 * which takes time too, ms. */
-	GRACE_RESERVE_MS = 300,
+	/* Parts of the grace period that are left for the last responses to be
+	 * sent, and for the exit of the process, which takes time too, ms; of a
+	 * short one at most a quarter each. */
+	ANSWER_RESERVE_MS = 200,
+	EXIT_RESERVE_MS = 100,
+	RESERVE_DIVISOR = 4,
 	NS_PER_MS = 1000000,
 	MS_PER_S = 1000,
 };
@@ -28,20 +31,31 @@
 /* A posted call of one of the role's functions on a data shard. */
 typedef struct {
 	mc_runtime_t *runtime;
-	void (*run)(void *state);
+	mc_ms_t answer_by;
 } role_call_t;
 
-static void run_role_call(mc_shard_t *shard, void *arg)
+static void run_drain(mc_shard_t *shard, void *arg)
 {
 	role_call_t *call = arg;
 	void *state = call->runtime->states[mc_shard_index(shard)];
 
 	if (state)
-		call->run(state);
+		call->runtime->params.ops->drain(state, call->answer_by);
 	free(call);
 }
 
-static void post_to_all(mc_runtime_t *runtime, void (*run)(void *state))
+static void run_stop_accepting(mc_shard_t *shard, void *arg)
+{
+	role_call_t *call = arg;
+	void *state = call->runtime->states[mc_shard_index(shard)];
+
+	if (state)
+		call->runtime->params.ops->stop_accepting(state);
+	free(call);
+}
+
+static void post_to_all(mc_runtime_t *runtime, mc_timer_fn_t run,
+			mc_ms_t answer_by)
 {
 	uint32_t i;
 
@@ -50,8 +64,11 @@
 
 		if (!call)
 			continue;
-		*call = (role_call_t){ .runtime = runtime, .run = run };
-		if (mc_shard_post(runtime->shards[i], run_role_call, call))
+		*call = (role_call_t){
+			.runtime = runtime,
+			.answer_by = answer_by,
+		};
+		if (mc_shard_post(runtime->shards[i], run, call))
 			free(call);
 	}
 }
@@ -250,38 +267,68 @@
 	       work.connections);
 }
 
-/* Waits until no work is left. Returns the reason why the process ends. */
-static const char *finish_work(const shutdown_t *stop, mc_ms_t end)
+typedef enum {
+	STOP_IDLE,
+	STOP_GRACE_PERIOD_OVER,
+	STOP_INTERRUPTED,
+} stop_reason_t;
+
+/* Waits until no work is left, or until @end. */
+static stop_reason_t finish_work(const shutdown_t *stop, mc_ms_t end)
 {
 	while (mc_clock_now(mc_clock_system()) < end) {
 		if (wait_interrupt(stop, IDLE_CHECK_INTERVAL_MS))
-			return "interrupted";
+			return STOP_INTERRUPTED;
 		if (is_idle(stop->runtime))
-			return "idle";
+			return STOP_IDLE;
 	}
-	return "grace_period_over";
+	return STOP_GRACE_PERIOD_OVER;
 }
 
-static const char *run_shutdown(const shutdown_t *stop)
+/* The part of the grace period that is reserved, at most @reserve, ms. */
+static mc_ms_t reserved(const mc_runtime_params_t *params, mc_ms_t reserve)
+{
+	mc_ms_t most = params->grace_period / RESERVE_DIVISOR;
+
+	return reserve < most ? reserve : most;
+}
+
+static stop_reason_t run_shutdown(const shutdown_t *stop)
 {
 	mc_runtime_t *runtime = stop->runtime;
 	const mc_runtime_params_t *params = &runtime->params;
-	mc_ms_t grace = params->grace_period;
+	mc_ms_t end = stop->start + params->grace_period -
+		      reserved(params, EXIT_RESERVE_MS);
 
-	if (grace > GRACE_RESERVE_MS * 2)
-		grace -= GRACE_RESERVE_MS;
 	if (params->ops->begin_shutdown)
 		params->ops->begin_shutdown(params->role);
-	post_to_all(runtime, params->ops->drain);
+	post_to_all(runtime, run_drain,
+		    end - reserved(params, ANSWER_RESERVE_MS));
 	if (wait_interrupt(stop, params->notice_period))
-		return "interrupted";
+		return STOP_INTERRUPTED;
 	log_work(stop, "no further work is accepted");
-	post_to_all(runtime, params->ops->stop_accepting);
-	return finish_work(stop, stop->start + grace);
+	post_to_all(runtime, run_stop_accepting, 0);
+	return finish_work(stop, end);
+}
+
+/* Answers what is in flight at once. */
+static void interrupt_work(const shutdown_t *stop)
+{
+	mc_ms_t now = mc_clock_now(mc_clock_system());
+
+	post_to_all(stop->runtime, run_drain, now);
+	post_to_all(stop->runtime, run_stop_accepting, 0);
+	finish_work(stop, now + ANSWER_RESERVE_MS);
 }
 
 static void shut_down(mc_runtime_t *runtime, const sigset_t *signals)
 {
+	static const char *const reason_names[] = {
+		[STOP_IDLE] = "idle",
+		[STOP_GRACE_PERIOD_OVER] = "grace_period_over",
+		[STOP_INTERRUPTED] = "interrupted",
+	};
+	stop_reason_t reason;
 	shutdown_t stop = {
 		.runtime = runtime,
 		.signals = signals,
@@ -290,7 +337,10 @@
 
 	mc_runtime_sum_counters(runtime, &stop.before);
 	log_start(&stop);
-	log_end(&stop, run_shutdown(&stop));
+	reason = run_shutdown(&stop);
+	if (reason == STOP_INTERRUPTED)
+		interrupt_work(&stop);
+	log_end(&stop, reason_names[reason]);
 }
 
 static void run_until_stopped(mc_runtime_t *runtime, const sigset_t *signals)
--- a/src/tier/request.c
+++ b/src/tier/request.c
@@ -21,8 +21,8 @@
 {
 	mc_ms_t now = mc_shard_now(request->tier->shard);
 	bool past_deadline = now >= request->deadline;
-	mc_err_t reason =
-		past_deadline ? MC_ERR_DEADLINE_EXCEEDED : MC_ERR_TARGET_FAILED;
+	mc_err_t reason = past_deadline ? timing_overdue_reason(request)
+					: MC_ERR_TARGET_FAILED;
 
 	if (request->has_ended)
 		return false;
@@ -270,7 +270,7 @@
 	uint32_t i;
 
 	if (now >= request->deadline) {
-		finish_error(request, MC_ERR_DEADLINE_PAST);
+		finish_error(request, timing_overdue_reason(request));
 		return;
 	}
 	if (head_build(request) || make_parts(request)) {
--- a/src/tier/tier.c
+++ b/src/tier/tier.c
@@ -10,6 +10,7 @@
 #include <unistd.h>
 
 #include "reload.h"
+#include "timing.h"
 
 enum {
 	TIER_SERVICES_MAX = MC_ROUTEMAP_SERVICES_MAX,
@@ -230,12 +231,18 @@
 	close_socket(process->metrics);
 }
 
-static void tier_drain(void *state)
+static void tier_drain(void *state, mc_ms_t answer_by)
 {
 	tier_t *tier = state;
+	uint32_t cursor = 0;
+	mc_handle_t handle;
+	request_t *request;
 
 	tier->draining = true;
+	tier->answer_by = answer_by;
 	mc_h1_start_draining(tier->h1);
+	while ((request = mc_table_next(tier->requests, &cursor, &handle)))
+		timing_limit_deadline(request);
 }
 
 static void tier_stop_accepting(void *state)
--- a/src/tier/tier_private.h
+++ b/src/tier/tier_private.h
@@ -340,6 +340,8 @@
 	mc_retry_window_limit_t extra_limit_total;
 	mc_retry_window_limit_t extra_limit;
 	bool draining;
+	/* While it is draining, all requests are answered by then, ms. */
+	mc_ms_t answer_by;
 	mc_replica_isolation_t isolation;
 	/* The isolation state is re-evaluated after this time, ms. */
 	mc_ms_t isolation_valid_until;
--- a/src/tier/timing.c
+++ b/src/tier/timing.c
@@ -69,11 +69,34 @@
 		time_left = route->timeout;
 	request->started = first_byte;
 	request->deadline = first_byte + time_left;
+	if (request->tier->draining &&
+	    request->deadline > request->tier->answer_by)
+		request->deadline = request->tier->answer_by;
 	request->goal_at = first_byte + route->latency_goal -
 			   goal_reserve(request) -
 			   elapsed_before_arrival(request, first_byte);
 }
 
+void timing_limit_deadline(request_t *request)
+{
+	const tier_t *tier = request->tier;
+
+	if (!tier->draining || request->has_ended ||
+	    request->deadline <= tier->answer_by)
+		return;
+	request->deadline = tier->answer_by;
+	timing_schedule(request);
+}
+
+mc_err_t timing_overdue_reason(const request_t *request)
+{
+	const tier_t *tier = request->tier;
+
+	return tier->draining && request->deadline == tier->answer_by
+		       ? MC_ERR_STOPPING
+		       : MC_ERR_DEADLINE_EXCEEDED;
+}
+
 /* Quantiles tracked for the latencies of a route's parts. */
 static const double median_quantile = 0.5;
 static const double p95_quantile = 0.95;
--- a/src/tier/timing.h
+++ b/src/tier/timing.h
@@ -10,6 +10,14 @@
  * @first_byte: arrival of its first byte, ms */
 void timing_set_deadlines(request_t *request, mc_ms_t first_byte);
 
+/** timing_limit_deadline() - If the process is stopping, bring the deadline of
+ * a request in flight forward to the end of the stop */
+void timing_limit_deadline(request_t *request);
+
+/** timing_overdue_reason() - Get the reason for which a request ends at its
+ * deadline */
+mc_err_t timing_overdue_reason(const request_t *request);
+
 /** timing_schedule() - Set the request's timer for the next hedge, the goal or
  * the deadline, whichever is first */
 void timing_schedule(request_t *request);
--- a/tests/system/stop_test.c
+++ b/tests/system/stop_test.c
@@ -210,9 +210,21 @@
 	assert_int_equal(harness_stop(site->harness, process, 0), 0);
 }
 
-/* Sends requests that outlast the grace period and waits until they run. */
-static void start_outlasting_requests(const site_t *site, int *fds)
+static uint32_t count_received(const site_t *site)
 {
+	uint32_t count = 0;
+	int i;
+
+	for (i = 0; i < SITE_SINGLE_REPLICAS; i++)
+		count += searcher_count_requests(site->single_replicas[i]);
+	return count;
+}
+
+/* Sends requests that outlast the grace period and waits until some run.
+ * Returns their number; the others wait for room. */
+static uint32_t start_outlasting_requests(const site_t *site, int *fds)
+{
+	uint32_t before = count_received(site);
 	int i;
 
 	set_delays(site, OUTLASTING_MS);
@@ -220,18 +232,24 @@
 	for (i = 0; i < CONNECTIONS; i++)
 		assert_true(raw_send(fds[i], outlasting_request));
 	harness_sleep(SLOW_MS / 2);
+	return count_received(site) - before;
 }
 
-/* Reads one complete response of each connection: a request that may have run
- * gets no status that promises that it has not. */
-static void read_unknown_outcomes(const int *fds)
+/* Reads one complete response of each connection: the @running requests get a
+ * status that leaves their outcome open, and the others one that promises that
+ * they have not run. */
+static void read_stop_responses(const int *fds, uint32_t running)
 {
+	uint32_t unknown = 0, refused = 0;
 	int i, status;
 
 	for (i = 0; i < CONNECTIONS; i++) {
 		status = read_status(fds[i]);
-		assert_true(status == 502 || status == 504);
+		unknown += status == 502 || status == 504;
+		refused += status == 503;
 	}
+	assert_int_equal(unknown, running);
+	assert_int_equal(refused, CONNECTIONS - running);
 }
 
 /* Requests that are still in flight when the grace period ends are answered
@@ -241,10 +259,11 @@
 	site_t *site = *state;
 	mc_handle_t process = site->instances[0].process;
 	int fds[CONNECTIONS];
+	uint32_t running = start_outlasting_requests(site, fds);
 
-	start_outlasting_requests(site, fds);
+	assert_true(running > 0);
 	harness_signal(site->harness, process, SIGTERM);
-	read_unknown_outcomes(fds);
+	read_stop_responses(fds, running);
 	close_connections(fds);
 	assert_int_equal(harness_stop(site->harness, process, 0), 0);
 }
@@ -256,12 +275,13 @@
 	site_t *site = *state;
 	mc_handle_t process = site->instances[0].process;
 	int fds[CONNECTIONS];
+	uint32_t running = start_outlasting_requests(site, fds);
 
-	start_outlasting_requests(site, fds);
+	assert_true(running > 0);
 	harness_signal(site->harness, process, SIGTERM);
 	site_wait_ready(site, 0, false);
 	harness_signal(site->harness, process, SIGINT);
-	read_unknown_outcomes(fds);
+	read_stop_responses(fds, running);
 	close_connections(fds);
 	assert_int_equal(harness_stop(site->harness, process, 0), 0);
 }
