h1: pipelined requests that have been read are answered before a close

What callers saw: during a planned stop, or at an instance that is cut off from its targets, requests pipelined behind one in flight got no answer, though the process had read them: the first response said "Connection: close" and the rest was dropped.

Cause: whether a response closes its connection was decided without looking at what had arrived behind its request.

Change: a response that would close the connection leaves it open while bytes of further requests have arrived, parsed or not, read or not; the last response closes it. After an invalid request nothing behind it is served, as before. When the process accepts no further work, a kept connection has a second for the rest of a request that has begun.

The test searched for responses in binary bodies as in text; it reads them as bytes now.

--- a/src/h1/include/mc/h1.h
+++ b/src/h1/include/mc/h1.h
@@ -153,7 +153,9 @@
 /**
  * mc_h1_start_draining() - Close each connection after its next response
  *
- * The response says so in a header line "Connection: close".
+ * The response says so in a header line "Connection: close". A connection on
+ * which further requests have arrived by then is closed after the response to
+ * the last of them.
  */
 void mc_h1_start_draining(mc_h1_t *h1);
 
@@ -177,7 +179,8 @@
  * @body: body; NULL for none. It is not sent where HTTP allows none: to a HEAD
  *	request, and with statuses 204 and 304
  * @body_size: bytes of @body; for a HEAD request MC_H1_SIZE_UNKNOWN is allowed
- * @close: close the connection after the response
+ * @close: close the connection after the response, and after those to the
+ *	requests that have arrived behind the one responded to
  */
 typedef struct mc_h1_response_t {
 	int status;
--- a/src/h1/server.c
+++ b/src/h1/server.c
@@ -21,8 +21,9 @@
 	/* How long to wait for the peer's close after shutting down, ms. */
 	LINGER_TIMEOUT_MS = 1000,
 	/* After the listening socket was closed, how long to wait for the first
-	 * request of a connection, ms. */
-	FIRST_REQUEST_TIMEOUT_MS = 1000,
+	 * request of a connection, or one of which some bytes have arrived,
+	 * ms. */
+	LAST_REQUEST_TIMEOUT_MS = 1000,
 	HEADER_LINES_SIZE = 256,
 	STATUS_TIMEOUT = 408,
 	STATUS_NO_CONTENT = 204,
@@ -48,6 +49,9 @@
 	h1_parser_t parser;
 	/* Bytes received after the request in flight. */
 	h1_buffer_t read_ahead;
+	/* Bytes that parse_data() has not parsed yet; they are in neither
+	 * buffer. */
+	size_t unparsed;
 	server_conn_state_t state;
 	bool keep_alive;
 	/* parse_data() is running; it also parses the requests that follow
@@ -99,6 +103,20 @@
 	conn->expires_at = mc_shard_now(h1->shard) + h1->limits.idle_timeout;
 }
 
+static bool has_unread_data(const server_conn_t *conn)
+{
+	char byte;
+
+	return recv(conn->stream.fd, &byte, sizeof(byte),
+		    MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
+/* Whether bytes have arrived after the request in flight. */
+static bool has_pipelined_data(const server_conn_t *conn)
+{
+	return conn->unparsed || conn->read_ahead.size || has_unread_data(conn);
+}
+
 /* Shuts down sending and waits for the peer's close. */
 static void linger(server_conn_t *conn)
 {
@@ -122,11 +140,16 @@
 /* After the response was sent, waits for the next request or shuts down. */
 static void handle_response_sent(server_conn_t *conn)
 {
-	if (conn->keep_alive) {
-		await_request(conn);
+	if (!conn->keep_alive) {
+		linger(conn);
+		set_timer(conn, conn->expires_at);
 		return;
 	}
-	linger(conn);
+	await_request(conn);
+	if (!conn->h1->closing)
+		return;
+	conn->expires_at =
+		mc_shard_now(conn->h1->shard) + LAST_REQUEST_TIMEOUT_MS;
 	set_timer(conn, conn->expires_at);
 }
 
@@ -135,6 +158,7 @@
 	const mc_h1_response_t response = { .status = status, .close = true };
 
 	conn->no_body = false;
+	conn->keep_alive = false;
 	conn->state = CONN_HANDLING;
 	mc_h1_respond(conn->h1, conn->handle, &response);
 }
@@ -227,6 +251,7 @@
 			used = size;
 		data += used;
 		size -= used;
+		conn->unparsed = size;
 		if (conn->parser.error_status)
 			respond_with_error(conn, conn->parser.error_status);
 		else if (conn->parser.complete)
@@ -238,6 +263,7 @@
 			return;
 	}
 	conn->parsing = false;
+	conn->unparsed = 0;
 	if (!size || conn->state == CONN_LINGERING)
 		return;
 	if (h1_buffer_append(&conn->read_ahead, data, size))
@@ -346,7 +372,7 @@
 	if (!conn || conn->state != CONN_HANDLING)
 		return mc_fail(MC_ERR_STALE_HANDLE,
 			       "no request to respond to on this connection");
-	if (response->close || h1->draining)
+	if ((response->close || h1->draining) && !has_pipelined_data(conn))
 		conn->keep_alive = false;
 	conn->state = CONN_RESPONDING;
 	if (write_response(conn, response) || !h1_stream_flush(&conn->stream)) {
@@ -436,14 +462,6 @@
 	shutdown(h1->listen_fd, SHUT_RD);
 }
 
-static bool has_unread_data(const server_conn_t *conn)
-{
-	char byte;
-
-	return recv(conn->stream.fd, &byte, sizeof(byte),
-		    MSG_PEEK | MSG_DONTWAIT) > 0;
-}
-
 /* Closes a connection on which no request has arrived. One that has not had its
  * first request yet is given some time for it. */
 static void close_if_idle(server_conn_t *conn)
@@ -454,8 +472,8 @@
 	if (conn->has_delivered_request)
 		linger(conn);
 	else
-		conn->expires_at = mc_shard_now(conn->h1->shard) +
-				   FIRST_REQUEST_TIMEOUT_MS;
+		conn->expires_at =
+			mc_shard_now(conn->h1->shard) + LAST_REQUEST_TIMEOUT_MS;
 	set_timer(conn, conn->expires_at);
 }
 
--- a/tests/system/stop_test.c
+++ b/tests/system/stop_test.c
@@ -289,17 +289,17 @@
 /* Reads to the end of the stream and counts the successful responses. */
 static int count_successes(int fd)
 {
-	char text[RAW_HEAD_MAX];
-	const char *at = text;
+	static const char success[] = "HTTP/1.1 200 ";
+	char data[RAW_HEAD_MAX];
+	const char *at = data;
 	size_t used = 0;
 	ssize_t count;
 	int successes = 0;
 
-	while (used < sizeof(text) - 1 &&
-	       (count = recv(fd, text + used, sizeof(text) - 1 - used, 0)) > 0)
+	while ((count = recv(fd, data + used, sizeof(data) - used, 0)) > 0)
 		used += (size_t)count;
-	text[used] = '\0';
-	while ((at = strstr(at, "HTTP/1.1 200 "))) {
+	while ((at = memmem(at, used - (size_t)(at - data), success,
+			    strlen(success)))) {
 		successes++;
 		at++;
 	}
