h1: a caller that shuts down its sending side gets its responses

What callers saw: a caller that sent its request and then shut down its sending side got no answer, though its request may have run; and the rest of a response was cut off when the caller did so while it was being sent.

Cause: the end of what the caller sends was taken for the loss of the connection. Both look the same to a reader; only a caller that has closed the connection resets it when bytes are sent to it.

Change: at the end of the stream the first bytes of the response are sent at once, as they are always the same. A caller that has closed its connection resets it within a round trip, and its request is canceled as before. Any other gets the responses to all that it sent, then the connection is closed. An interim response (100) was ruled out as a probe: simple clients don't expect it.

--- a/src/h1/include/mc/h1.h
+++ b/src/h1/include/mc/h1.h
@@ -121,7 +121,9 @@
  *	after which the next request of the connection is delivered.
  *	@first_byte: when the first byte of the request was read, ms
  * @disconnected: the peer has disconnected before the response to its request;
- *	@connection and the message are invalid after the call
+ *	@connection and the message are invalid after the call. Not called for
+ *	a peer that only shuts down its sending side, as it can read the
+ *	response
  */
 typedef struct mc_h1_server_handlers_t {
 	void (*request)(void *ctx, mc_handle_t connection,
--- a/src/h1/server.c
+++ b/src/h1/server.c
@@ -2,6 +2,11 @@
  * Server connections. One request of a connection is delivered at a time. While
  * it waits for its response, the socket is still read, so that a disconnect of
  * the peer is noticed; pipelined requests are buffered meanwhile.
+ *
+ * A peer that closes its connection and one that only shuts down its sending
+ * side look the same until bytes are sent to them: the first one resets the
+ * connection, the other one reads them. So the first bytes of the response,
+ * which are always the same, are sent at once then.
  */
 #include "h1_private.h"
 
@@ -31,6 +36,9 @@
 	US_PER_MS = 1000,
 };
 
+/* What each response begins with. */
+static const char http_version[] = "HTTP/1.1 ";
+
 typedef enum {
 	/* Waiting for a request, or receiving one. */
 	CONN_READING,
@@ -62,6 +70,10 @@
 	bool has_delivered_request;
 	/* The response to the request has no body (HEAD). */
 	bool no_body;
+	/* The peer has shut down its sending side, or closed the connection. */
+	bool end_of_stream;
+	/* http_version was sent already, before the rest of the response. */
+	bool version_sent;
 	/* Round-trip time, measured with the first request, ms. */
 	mc_ms_t round_trip;
 	/* When the first byte of the request was read, ms. */
@@ -140,6 +152,8 @@
 /* After the response was sent, waits for the next request or shuts down. */
 static void handle_response_sent(server_conn_t *conn)
 {
+	if (conn->end_of_stream && !conn->unparsed && !conn->read_ahead.size)
+		conn->keep_alive = false;
 	if (!conn->keep_alive) {
 		linger(conn);
 		set_timer(conn, conn->expires_at);
@@ -264,6 +278,12 @@
 	}
 	conn->parsing = false;
 	conn->unparsed = 0;
+	/* The rest of a request that has begun can't arrive any more. */
+	if (conn->end_of_stream && conn->state == CONN_READING) {
+		linger(conn);
+		set_timer(conn, conn->expires_at);
+		return;
+	}
 	if (!size || conn->state == CONN_LINGERING)
 		return;
 	if (h1_buffer_append(&conn->read_ahead, data, size))
@@ -273,6 +293,38 @@
 				     conn->stream.events & ~MC_WATCH_READ);
 }
 
+/* Sends the first bytes of the response, which a peer that has closed the
+ * connection answers with a reset. Returns false if the connection is broken.
+ */
+static bool probe_peer(server_conn_t *conn)
+{
+	if (conn->state != CONN_HANDLING || conn->version_sent)
+		return true;
+	if (h1_buffer_append(&conn->stream.out, http_version,
+			     strlen(http_version)))
+		return false;
+	conn->version_sent = true;
+	return h1_stream_flush(&conn->stream);
+}
+
+/* Handles the end of what the peer sends. It may still read the responses to
+ * the requests that it has sent. */
+static void handle_end_of_stream(server_conn_t *conn)
+{
+	bool can_go_on =
+		conn->state == CONN_HANDLING || conn->state == CONN_RESPONDING;
+
+	/* Without events to read, only the loss of the connection is reported.
+	 */
+	if (!can_go_on || conn->end_of_stream || !probe_peer(conn)) {
+		handle_loss(conn);
+		return;
+	}
+	conn->end_of_stream = true;
+	h1_stream_set_events(&conn->stream,
+			     conn->stream.events & ~MC_WATCH_READ);
+}
+
 /* Parses the buffered bytes after the previous response was sent. */
 static void parse_read_ahead(server_conn_t *conn)
 {
@@ -281,8 +333,9 @@
 	if (!read_ahead.size)
 		return;
 	conn->read_ahead = (h1_buffer_t){ 0 };
-	h1_stream_set_events(&conn->stream,
-			     conn->stream.events | MC_WATCH_READ);
+	if (!conn->end_of_stream)
+		h1_stream_set_events(&conn->stream,
+				     conn->stream.events | MC_WATCH_READ);
 	parse_data(conn, read_ahead.data, read_ahead.size);
 	h1_buffer_free(&read_ahead);
 }
@@ -313,7 +366,9 @@
 	if (!(events & (MC_WATCH_READ | MC_WATCH_ERROR)))
 		return;
 	count = h1_stream_read(&conn->stream, h1->read_buffer, H1_READ_SIZE);
-	if (count == 0 || count == H1_READ_ERROR)
+	if (count == 0)
+		handle_end_of_stream(conn);
+	else if (count == H1_READ_ERROR)
 		handle_loss(conn);
 	else if (count > 0 && conn->state != CONN_LINGERING)
 		parse_data(conn, h1->read_buffer, (size_t)count);
@@ -345,8 +400,10 @@
 	int size;
 	mc_err_t err;
 
-	size = snprintf(head, sizeof(head), "HTTP/1.1 %d %s\r\n",
+	size = snprintf(head, sizeof(head), "%s%d %s\r\n",
+			conn->version_sent ? "" : http_version,
 			response->status, reason_phrase(response->status));
+	conn->version_sent = false;
 	err = h1_buffer_append(out, head, (size_t)size);
 	if (!err)
 		err = h1_buffer_append(out, header_lines, strlen(header_lines));
--- a/tests/unit/h1_test.c
+++ b/tests/unit/h1_test.c
@@ -435,6 +435,54 @@
 	mc_shard_unlock(fixture->shard);
 }
 
+static void respond_to_held_request(fixture_t *fixture)
+{
+	const mc_h1_response_t response = { .status = 200,
+					    .body = "done",
+					    .body_size = 4 };
+
+	mc_shard_lock(fixture->shard);
+	assert_int_equal(
+		mc_h1_respond(fixture->h1, fixture->held_connection, &response),
+		MC_OK);
+	mc_shard_unlock(fixture->shard);
+}
+
+/*
+ * A peer that shuts down its sending side gets the responses to all requests
+ * that it has sent, also to pipelined ones, but none to a part of one. Then the
+ * connection is closed.
+ */
+static void test_half_closed(void **state)
+{
+	static const char first[] = "HTTP/1.1 200 OK\r\n";
+	fixture_t *fixture = *state;
+	char text[TEXT_SIZE];
+	uint32_t i;
+	int fd;
+
+	fixture->hold_responses = true;
+	fd = connect_to(fixture->port);
+	send_text(fd, "GET /a HTTP/1.1\r\nHost: h\r\n\r\n"
+		      "GET /b HTTP/1.1\r\nHost: h\r\n\r\n"
+		      "GET /c HTTP/1.1\r\nHost:");
+	wait_for(fixture, &fixture->requests, 1);
+	shutdown(fd, SHUT_WR);
+	read_until(fd, text, "HTTP/1.1 ", 1);
+	for (i = 1; i <= 2; i++) {
+		wait_for(fixture, &fixture->requests, i);
+		respond_to_held_request(fixture);
+	}
+	/* The beginning of the first response was read above. */
+	read_until(fd, text, NULL, 0);
+	assert_memory_equal(text, first + strlen("HTTP/1.1 "),
+			    strlen(first) - strlen("HTTP/1.1 "));
+	assert_non_null(strstr(text, "doneHTTP/1.1 200 OK\r\n"));
+	assert_string_equal(text + strlen(text) - 4, "done");
+	assert_int_equal(fixture->disconnected, 0);
+	close(fd);
+}
+
 /*
  * While draining, a response closes its connection. mc_h1_close_idle() closes
  * the idle connections.
@@ -624,6 +672,7 @@
 		H1_TEST(test_trailers_of_requests),
 		H1_TEST(test_rejects_large_trailers),
 		H1_TEST(test_reports_disconnect),
+		H1_TEST(test_half_closed),
 		H1_TEST(test_draining),
 		H1_TEST(test_client_responses),
 		H1_TEST(test_client_awaits_next_response),
