h1: a request that has arrived when the idle time-out ends is served

What callers saw: after an instance had been held up (suspended, or without processor time), a request on a kept connection ended with a closed connection, although it had arrived before the instance closed it.

Cause: a shard that goes on looks at its timers before it reads what has arrived in the meantime, so the idle time-out closed connections with a request in their socket. Class: bytes that were not read yet are not counted as received.

Change: a time-out while bytes wait in the socket is put off once, by 0.1 s. The time-out of a request that arrives in parts goes the same way.

--- a/src/h1/server.c
+++ b/src/h1/server.c
@@ -29,6 +29,9 @@
 	 * request of a connection, or one of which some bytes have arrived,
 	 * ms. */
 	LAST_REQUEST_TIMEOUT_MS = 1000,
+	/* How long a time-out is put off for bytes that have arrived but were
+	 * not read yet, ms. */
+	UNREAD_TIMEOUT_MS = 100,
 	HEADER_LINES_SIZE = 256,
 	STATUS_TIMEOUT = 408,
 	STATUS_NO_CONTENT = 204,
@@ -67,6 +70,8 @@
 	bool parsing;
 	/* The request's "Expect" header was checked. */
 	bool expect_checked;
+	/* The time-out of the current wait was put off once. */
+	bool timeout_put_off;
 	bool has_delivered_request;
 	/* The response to the request has no body (HEAD). */
 	bool no_body;
@@ -112,6 +117,7 @@
 			h1->limits.body_bytes_max);
 	conn->state = CONN_READING;
 	conn->expect_checked = false;
+	conn->timeout_put_off = false;
 	conn->expires_at = mc_shard_now(h1->shard) + h1->limits.idle_timeout;
 }
 
@@ -177,6 +183,22 @@
 	mc_h1_respond(conn->h1, conn->handle, &response);
 }
 
+/*
+ * A shard that was held up looks at its timers before it reads what arrived
+ * meanwhile. So a wait for bytes that are there already goes on, once. Returns
+ * whether it does.
+ */
+static bool put_off_timeout(server_conn_t *conn)
+{
+	if (conn->state != CONN_READING || conn->timeout_put_off ||
+	    !has_unread_data(conn))
+		return false;
+	conn->timeout_put_off = true;
+	conn->expires_at = mc_shard_now(conn->h1->shard) + UNREAD_TIMEOUT_MS;
+	set_timer(conn, conn->expires_at);
+	return true;
+}
+
 /* A connection has one timer, which is set again when it fires too early. */
 static void check_timeout(mc_shard_t *shard, void *arg)
 {
@@ -190,6 +212,8 @@
 		set_timer(conn, at);
 		return;
 	}
+	if (put_off_timeout(conn))
+		return;
 	if (conn->state == CONN_READING && conn->parser.started) {
 		respond_with_error(conn, STATUS_TIMEOUT);
 	} else if (conn->state == CONN_READING) {
@@ -252,6 +276,7 @@
 	while (size && conn->state == CONN_READING) {
 		if (!conn->parser.started) {
 			conn->first_byte = mc_shard_now(h1->shard);
+			conn->timeout_put_off = false;
 			conn->expires_at =
 				conn->first_byte + h1->limits.request_timeout;
 			/* The timer is still set to the idle time-out, and may
--- a/tests/unit/h1_test.c
+++ b/tests/unit/h1_test.c
@@ -25,6 +25,9 @@
 	REQUEST_MS = 60000,
 	HEAD_BYTES = 4096,
 	BODY_BYTES = 10000,
+	/* An idle time-out that passes while the shard is held up, ms. */
+	SHORT_IDLE_MS = 100,
+	HOLD_MS = 300,
 };
 
 /* Results of the handlers; the test reads them under the shard's lock. */
@@ -512,6 +515,45 @@
 	close(idle);
 }
 
+static void set_idle_timeout(fixture_t *fixture, mc_ms_t timeout)
+{
+	const mc_h1_limits_t limits = {
+		.head_bytes_max = HEAD_BYTES,
+		.body_bytes_max = BODY_BYTES,
+		.request_timeout = REQUEST_MS,
+		.idle_timeout = timeout,
+	};
+
+	mc_shard_lock(fixture->shard);
+	mc_h1_set_limits(fixture->h1, &limits);
+	mc_shard_unlock(fixture->shard);
+}
+
+/*
+ * The idle time-out passes while the shard is held up, and so does the arrival
+ * of a request. It is served, although the shard looks at its timers first.
+ */
+static void test_request_at_idle_timeout(void **state)
+{
+	fixture_t *fixture = *state;
+	char text[TEXT_SIZE];
+	int fd;
+
+	set_idle_timeout(fixture, SHORT_IDLE_MS);
+	fd = connect_to(fixture->port);
+	send_text(fd, "GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+	read_until(fd, text, "done", 1);
+	mc_shard_lock(fixture->shard);
+	usleep(HOLD_MS * 1000);
+	send_text(fd, "GET /b HTTP/1.1\r\nHost: h\r\n\r\n");
+	mc_shard_unlock(fixture->shard);
+	read_until(fd, text, "done", 1);
+	assert_non_null(strstr(text, "done"));
+	/* Then the connection is closed as soon as it is idle. */
+	assert_int_equal(read_until(fd, text, NULL, 0), 0);
+	close(fd);
+}
+
 /* Opens the listening socket of a raw server for the tests of the client. */
 static int raw_server(uint16_t *port)
 {
@@ -674,6 +716,7 @@
 		H1_TEST(test_reports_disconnect),
 		H1_TEST(test_half_closed),
 		H1_TEST(test_draining),
+		H1_TEST(test_request_at_idle_timeout),
 		H1_TEST(test_client_responses),
 		H1_TEST(test_client_awaits_next_response),
 		H1_TEST(test_trailers_of_responses),
