runtime: a shutdown ends after all data shards have stopped accepting connections

Cause: a shutdown asked the data shards for unfinished work 20 ms after it told them to accept no more, and took one that had not been scheduled since for idle. Connections that it accepted after that were closed at once. By reading and by the unit test; it was not seen with real processes.

Change: calls that were posted to a shard and have not ended count as work. That a call can't be posted is logged.

--- a/src/runtime/runtime.c
+++ b/src/runtime/runtime.c
@@ -26,6 +26,9 @@
 	mc_shard_t *control;
 	mc_shard_t *shards[MC_RUNTIME_SHARDS_MAX];
 	void *states[MC_RUNTIME_SHARDS_MAX];
+	/* Calls of the role's functions that were posted and have not ended;
+	 * atomic. */
+	uint32_t pending_calls;
 };
 
 /* A posted call of one of the role's functions on a data shard. */
@@ -34,6 +37,12 @@
 	mc_ms_t answer_by;
 } role_call_t;
 
+static void end_call(role_call_t *call)
+{
+	__atomic_sub_fetch(&call->runtime->pending_calls, 1, __ATOMIC_RELEASE);
+	free(call);
+}
+
 static void run_drain(mc_shard_t *shard, void *arg)
 {
 	role_call_t *call = arg;
@@ -41,7 +50,7 @@
 
 	if (state)
 		call->runtime->params.ops->drain(state, call->answer_by);
-	free(call);
+	end_call(call);
 }
 
 static void run_stop_accepting(mc_shard_t *shard, void *arg)
@@ -51,26 +60,36 @@
 
 	if (state)
 		call->runtime->params.ops->stop_accepting(state);
-	free(call);
+	end_call(call);
+}
+
+static mc_err_t post_call(mc_runtime_t *runtime, uint32_t index,
+			  mc_timer_fn_t run, mc_ms_t answer_by)
+{
+	role_call_t *call = malloc(sizeof(*call));
+	mc_err_t err;
+
+	if (!call)
+		return mc_fail(MC_ERR_NO_MEMORY, "out of memory for a call");
+	*call = (role_call_t){ .runtime = runtime, .answer_by = answer_by };
+	__atomic_add_fetch(&runtime->pending_calls, 1, __ATOMIC_RELAXED);
+	err = mc_shard_post(runtime->shards[index], run, call);
+	if (err)
+		end_call(call);
+	return err;
 }
 
 static void post_to_all(mc_runtime_t *runtime, mc_timer_fn_t run,
 			mc_ms_t answer_by)
 {
+	const mc_runtime_params_t *params = &runtime->params;
 	uint32_t i;
 
-	for (i = 0; i < runtime->params.shard_count; i++) {
-		role_call_t *call = malloc(sizeof(*call));
-
-		if (!call)
-			continue;
-		*call = (role_call_t){
-			.runtime = runtime,
-			.answer_by = answer_by,
-		};
-		if (mc_shard_post(runtime->shards[i], run, call))
-			free(call);
-	}
+	for (i = 0; i < params->shard_count; i++)
+		if (post_call(runtime, i, run, answer_by))
+			mc_log(params->log, MC_LOG_ERROR, params->ops->name,
+			       "shard %u not told of the shutdown: %s", i,
+			       mc_last_error_message());
 }
 
 static mc_shard_t *create_shard(const mc_runtime_t *runtime, uint32_t index)
@@ -155,8 +174,12 @@
 
 static bool is_idle(mc_runtime_t *runtime)
 {
-	mc_runtime_work_t work = count_work(runtime);
+	mc_runtime_work_t work;
 
+	/* A shard that was not told yet may have connections to accept. */
+	if (__atomic_load_n(&runtime->pending_calls, __ATOMIC_ACQUIRE))
+		return false;
+	work = count_work(runtime);
 	return !work.requests && !work.connections;
 }
 
--- /dev/null
+++ b/tests/unit/runtime_test.c
@@ -0,0 +1,156 @@
+/*
+ * Unit tests of the runtime library, with a role that records what it is told.
+ */
+#include <setjmp.h>
+#include <signal.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdlib.h>
+#include <unistd.h>
+#include <cmocka.h>
+
+#include "mc/runtime.h"
+
+enum {
+	SHARDS = 2,
+	GRACE_MS = 5000,
+	/* For how long a shard is held up, longer than the runtime waits before
+	 * it first asks for unfinished work, ms. */
+	HOLD_MS = 200,
+	/* For how long connections that are accepted last take, ms. */
+	WORK_MS = 100,
+};
+
+/* What the role has been told; each shard writes its own part. */
+typedef struct {
+	struct {
+		mc_shard_t *shard;
+		mc_ms_t answer_by;
+		/* When the last connections were accepted, and when the state
+		 * was destroyed, ms. */
+		mc_ms_t accepted_at;
+		mc_ms_t destroyed_at;
+	} shards[SHARDS];
+	uint32_t shard_count;
+} role_t;
+
+/* State of a data shard. */
+typedef struct {
+	role_t *role;
+	uint32_t index;
+} state_t;
+
+static mc_err_t init_role(void *role, mc_runtime_t *runtime)
+{
+	(void)role;
+	(void)runtime;
+	return MC_OK;
+}
+
+static void cleanup_role(void *role)
+{
+	(void)role;
+}
+
+static void *create_state(void *ctx, mc_runtime_t *runtime, mc_shard_t *shard)
+{
+	role_t *role = ctx;
+	state_t *state = calloc(1, sizeof(*state));
+
+	(void)runtime;
+	assert_non_null(state);
+	state->role = role;
+	state->index = role->shard_count++;
+	role->shards[state->index].shard = shard;
+	return state;
+}
+
+/* Holds the shard up, but leaves its lock to others, like a thread that gets no
+ * processor time before it takes the lock. */
+static void drain(void *ctx, mc_ms_t answer_by)
+{
+	state_t *state = ctx;
+	mc_shard_t *shard = state->role->shards[state->index].shard;
+
+	state->role->shards[state->index].answer_by = answer_by;
+	mc_shard_unlock(shard);
+	usleep(HOLD_MS * 1000);
+	mc_shard_lock(shard);
+}
+
+/* Accepts connections that have been waiting. */
+static void stop_accepting(void *ctx)
+{
+	state_t *state = ctx;
+
+	state->role->shards[state->index].accepted_at =
+		mc_clock_now(mc_clock_system());
+}
+
+static void count_work(const void *ctx, mc_runtime_work_t *work)
+{
+	const state_t *state = ctx;
+	mc_ms_t accepted_at = state->role->shards[state->index].accepted_at;
+
+	if (accepted_at &&
+	    mc_clock_now(mc_clock_system()) < accepted_at + WORK_MS)
+		work->connections++;
+}
+
+static void destroy_state(void *ctx)
+{
+	state_t *state = ctx;
+
+	state->role->shards[state->index].destroyed_at =
+		mc_clock_now(mc_clock_system());
+	free(state);
+}
+
+/*
+ * A shard that is held up seems to have nothing to do, but still has
+ * connections to accept. The process ends after these have ended, too.
+ */
+static void test_waits_for_last_connections(void **test_state)
+{
+	static const mc_runtime_ops_t ops = {
+		.name = "test",
+		.init = init_role,
+		.cleanup = cleanup_role,
+		.create_state = create_state,
+		.destroy_state = destroy_state,
+		.drain = drain,
+		.stop_accepting = stop_accepting,
+		.count_work = count_work,
+	};
+	role_t role = { 0 };
+	const mc_runtime_params_t params = {
+		.ops = &ops,
+		.role = &role,
+		.shard_count = SHARDS,
+		.grace_period = GRACE_MS,
+	};
+	mc_ms_t start = mc_clock_now(mc_clock_system());
+	int i;
+
+	(void)test_state;
+	assert_int_equal(mc_net_init(), MC_OK);
+	mc_runtime_block_signals();
+	kill(getpid(), SIGTERM);
+	assert_int_equal(mc_runtime_run(&params), MC_OK);
+	for (i = 0; i < SHARDS; i++) {
+		assert_true(role.shards[i].accepted_at > 0);
+		assert_true(role.shards[i].destroyed_at >=
+			    role.shards[i].accepted_at + WORK_MS);
+		assert_true(role.shards[i].answer_by > start);
+		assert_true(role.shards[i].answer_by < start + 2 * GRACE_MS);
+	}
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_waits_for_last_connections),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
