--- a/src/h1/server.c
+++ b/src/h1/server.c
@@ -8,13 +8,10 @@
  * connection, the other one reads them. So the first bytes of the response,
  * which are always the same, are sent at once then.
  */
-#include "h1_private.h"
+#include "server_conn.h"
 
-#include <errno.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
-#include <stdio.h>
-#include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -32,63 +29,11 @@
 	/* How long a time-out is put off for bytes that have arrived but were
 	 * not read yet, ms. */
 	UNREAD_TIMEOUT_MS = 100,
-	HEADER_LINES_SIZE = 256,
 	STATUS_TIMEOUT = 408,
-	STATUS_NO_CONTENT = 204,
-	STATUS_NOT_MODIFIED = 304,
 	US_PER_MS = 1000,
 };
 
-/* What each response begins with. */
-static const char http_version[] = "HTTP/1.1 ";
-
-typedef enum {
-	/* Waiting for a request, or receiving one. */
-	CONN_READING,
-	/* The request was delivered and has no response yet. */
-	CONN_HANDLING,
-	/* The response is being sent. */
-	CONN_RESPONDING,
-	/* Shut down for sending; waiting for the peer's close. */
-	CONN_LINGERING,
-} server_conn_state_t;
-
-typedef struct {
-	mc_h1_t *h1;
-	mc_handle_t handle;
-	h1_stream_t stream;
-	h1_parser_t parser;
-	/* Bytes received after the request in flight. */
-	h1_buffer_t read_ahead;
-	/* Bytes that parse_data() has not parsed yet; they are in neither
-	 * buffer. */
-	size_t unparsed;
-	server_conn_state_t state;
-	bool keep_alive;
-	/* parse_data() is running; it also parses the requests that follow
-	 * the one it delivers, so that mc_h1_respond() does not. */
-	bool parsing;
-	/* The request's "Expect" header was checked. */
-	bool expect_checked;
-	/* The time-out of the current wait was put off once. */
-	bool timeout_put_off;
-	bool has_delivered_request;
-	/* The response to the request has no body (HEAD). */
-	bool no_body;
-	/* The peer has shut down its sending side, or closed the connection. */
-	bool end_of_stream;
-	/* http_version was sent already, before the rest of the response. */
-	bool version_sent;
-	/* Round-trip time, measured with the first request, ms. */
-	mc_ms_t round_trip;
-	/* When the first byte of the request was read, ms. */
-	mc_ms_t first_byte;
-	/* When the current state times out, ms. */
-	mc_ms_t expires_at;
-	mc_handle_t timer;
-} server_conn_t;
-
-static void free_conn(server_conn_t *conn)
+void server_conn_free(server_conn_t *conn)
 {
 	mc_h1_t *h1 = conn->h1;
 
@@ -106,7 +51,7 @@
 
 	if (conn->state == CONN_HANDLING)
 		h1->server->disconnected(h1->server_ctx, conn->handle);
-	free_conn(conn);
+	server_conn_free(conn);
 }
 
 static void await_request(server_conn_t *conn)
@@ -220,7 +165,7 @@
 		linger(conn);
 		set_timer(conn, conn->expires_at);
 	} else {
-		free_conn(conn);
+		server_conn_free(conn);
 	}
 }
 
@@ -325,10 +270,8 @@
 {
 	if (conn->state != CONN_HANDLING || conn->version_sent)
 		return true;
-	if (h1_buffer_append(&conn->stream.out, http_version,
-			     strlen(http_version)))
+	if (response_begin(conn))
 		return false;
-	conn->version_sent = true;
 	return h1_stream_flush(&conn->stream);
 }
 
@@ -399,53 +342,6 @@
 		parse_data(conn, h1->read_buffer, (size_t)count);
 }
 
-static const char *reason_phrase(int status)
-{
-	switch (status) {
-#define XX(number, name, text) \
-	case number:           \
-		return #text;
-		HTTP_STATUS_MAP(XX)
-#undef XX
-	default:
-		return "Status";
-	}
-}
-
-static mc_err_t write_response(server_conn_t *conn,
-			       const mc_h1_response_t *response)
-{
-	h1_buffer_t *out = &conn->stream.out;
-	const char *header_lines =
-		response->header_lines ? response->header_lines : "";
-	bool sized = response->status != STATUS_NO_CONTENT &&
-		     response->status != STATUS_NOT_MODIFIED &&
-		     response->body_size != MC_H1_SIZE_UNKNOWN;
-	char head[HEADER_LINES_SIZE];
-	int size;
-	mc_err_t err;
-
-	size = snprintf(head, sizeof(head), "%s%d %s\r\n",
-			conn->version_sent ? "" : http_version,
-			response->status, reason_phrase(response->status));
-	conn->version_sent = false;
-	err = h1_buffer_append(out, head, (size_t)size);
-	if (!err)
-		err = h1_buffer_append(out, header_lines, strlen(header_lines));
-	size = 0;
-	if (sized)
-		size = snprintf(head, sizeof(head), "Content-Length: %zu\r\n",
-				response->body_size);
-	size += snprintf(head + size, sizeof(head) - (size_t)size, "%s\r\n",
-			 conn->keep_alive ? "" : "Connection: close\r\n");
-	if (!err)
-		err = h1_buffer_append(out, head, (size_t)size);
-	if (!err && sized && !conn->no_body)
-		err = h1_buffer_append(out, response->body,
-				       response->body_size);
-	return err;
-}
-
 mc_err_t mc_h1_respond(mc_h1_t *h1, mc_handle_t connection,
 		       const mc_h1_response_t *response)
 {
@@ -457,10 +353,10 @@
 	if ((response->close || h1->draining) && !has_pipelined_data(conn))
 		conn->keep_alive = false;
 	conn->state = CONN_RESPONDING;
-	if (write_response(conn, response) || !h1_stream_flush(&conn->stream)) {
+	if (response_write(conn, response) || !h1_stream_flush(&conn->stream)) {
 		/* A response that ends before its Content-Length is detected as
 		 * incomplete by the peer. */
-		free_conn(conn);
+		server_conn_free(conn);
 		return MC_OK;
 	}
 	if (h1_stream_pending(&conn->stream))
@@ -471,7 +367,7 @@
 	return MC_OK;
 }
 
-static void add_conn(mc_h1_t *h1, int fd)
+void server_conn_add(mc_h1_t *h1, int fd)
 {
 	mc_handle_t handle;
 	server_conn_t *conn;
@@ -488,65 +384,14 @@
 	conn->handle = handle;
 	if (h1_stream_init(&conn->stream, h1->shard, fd, MC_WATCH_READ,
 			   on_ready, conn)) {
-		free_conn(conn);
+		server_conn_free(conn);
 		return;
 	}
 	await_request(conn);
 	set_timer(conn, conn->expires_at);
 }
 
-static void accept_conns(mc_shard_t *shard, void *arg, int events)
-{
-	mc_h1_t *h1 = arg;
-	int fd;
-
-	(void)shard;
-	(void)events;
-	for (;;) {
-		fd = accept4(h1->listen_fd, NULL, NULL,
-			     SOCK_NONBLOCK | SOCK_CLOEXEC);
-		if (fd < 0 && (errno == EINTR || errno == ECONNABORTED))
-			continue;
-		if (fd < 0)
-			return;
-		add_conn(h1, fd);
-	}
-}
-
-mc_err_t mc_h1_serve(mc_h1_t *h1, int fd, const mc_h1_server_handlers_t *server,
-		     void *ctx)
-{
-	h1->server = server;
-	h1->server_ctx = ctx;
-	h1->listen_fd = fd;
-	return mc_watch_add(h1->shard, fd, MC_WATCH_READ, accept_conns, h1,
-			    &h1->listen_watch);
-}
-
-void mc_h1_set_limits(mc_h1_t *h1, const mc_h1_limits_t *limits)
-{
-	h1->limits = *limits;
-}
-
-void mc_h1_start_draining(mc_h1_t *h1)
-{
-	h1->draining = true;
-}
-
-/* Accepts the connections that are waiting, which would else be reset, and
- * refuses further ones. */
-static void stop_listening(mc_h1_t *h1)
-{
-	if (h1->closing || !h1->server)
-		return;
-	accept_conns(h1->shard, h1, MC_WATCH_READ);
-	mc_watch_remove(h1->shard, h1->listen_watch);
-	shutdown(h1->listen_fd, SHUT_RD);
-}
-
-/* Closes a connection on which no request has arrived. One that has not had its
- * first request yet is given some time for it. */
-static void close_if_idle(server_conn_t *conn)
+void server_conn_close_if_idle(server_conn_t *conn)
 {
 	if (conn->state != CONN_READING || conn->parser.started ||
 	    has_unread_data(conn))
@@ -558,43 +403,3 @@
 			mc_shard_now(conn->h1->shard) + LAST_REQUEST_TIMEOUT_MS;
 	set_timer(conn, conn->expires_at);
 }
-
-void mc_h1_close_idle(mc_h1_t *h1)
-{
-	uint32_t cursor = 0;
-	mc_handle_t handle;
-	server_conn_t *conn;
-
-	h1->draining = true;
-	stop_listening(h1);
-	h1->closing = true;
-	while ((conn = mc_table_next(h1->server_conns, &cursor, &handle)))
-		close_if_idle(conn);
-}
-
-uint32_t mc_h1_server_connection_count(const mc_h1_t *h1)
-{
-	return mc_table_count(h1->server_conns);
-}
-
-mc_err_t h1_server_init(mc_h1_t *h1)
-{
-	h1->server_conns =
-		mc_table_create(sizeof(server_conn_t), MC_H1_CONNECTIONS_MAX);
-	return h1->server_conns ? MC_OK : MC_ERR_NO_MEMORY;
-}
-
-void h1_server_destroy(mc_h1_t *h1)
-{
-	uint32_t cursor = 0;
-	mc_handle_t handle;
-	server_conn_t *conn;
-
-	if (!h1->server_conns)
-		return;
-	while ((conn = mc_table_next(h1->server_conns, &cursor, &handle)))
-		free_conn(conn);
-	if (h1->server && !h1->closing)
-		mc_watch_remove(h1->shard, h1->listen_watch);
-	mc_table_destroy(h1->server_conns);
-}
