runtime: a process that was held up beyond its grace period still answers

What callers saw: an instance that is suspended during a planned stop until its grace period is over, and is not killed, may end as soon as it goes on, without answers to requests in flight and to those that arrived meanwhile. Whether it did was a race between its threads.

Cause: the main thread ended the process when the time was over, though the data shards had not run since.

Change: the shutdown waits for unfinished work for at least the time that is reserved for the last answers.

--- a/src/runtime/shutdown.c
+++ b/src/runtime/shutdown.c
@@ -224,6 +224,15 @@
 	return reserve < most ? reserve : most;
 }
 
+/* When the process ends at the latest, ms. One that was held up beyond that
+ * time still gets some for its answers. */
+static mc_ms_t latest_end(mc_ms_t planned)
+{
+	mc_ms_t least = mc_clock_now(mc_clock_system()) + ANSWER_RESERVE_MS;
+
+	return planned > least ? planned : least;
+}
+
 static stop_reason_t run_shutdown(const shutdown_t *stop)
 {
 	mc_runtime_t *runtime = stop->runtime;
@@ -239,7 +248,7 @@
 		return STOP_INTERRUPTED;
 	log_work(stop, "no further work is accepted");
 	post_to_all(runtime, run_stop_accepting, 0);
-	return finish_work(stop, end);
+	return finish_work(stop, latest_end(end));
 }
 
 /* Answers what is in flight at once. */
--- a/tests/system/stop_test.c
+++ b/tests/system/stop_test.c
@@ -24,6 +24,8 @@
 	NOTICE_MS = 1000,
 	/* Longer than NOTICE_MS, shorter than SITE_GRACE_MS, ms. */
 	PAUSE_MS = 1300,
+	/* Longer than SITE_GRACE_MS, ms. */
+	LONG_PAUSE_MS = 3500,
 	/* As many slow requests as the searchers have slots, and the time that
 	 * each takes, ms. */
 	SLOW_REQUESTS = 4,
@@ -115,6 +117,14 @@
 		close(fds[i]);
 }
 
+static void set_delays(const site_t *site, mc_ms_t delay)
+{
+	int i;
+
+	for (i = 0; i < SITE_SINGLE_REPLICAS; i++)
+		searcher_set_delay(site->single_replicas[i], delay);
+}
+
 /* Begins a planned stop, and pauses the instance before it stops accepting
  * connections. */
 static void begin_stop_and_pause(site_t *site)
@@ -153,6 +163,35 @@
 		harness_stop(site->harness, site->instances[0].process, 0), 0);
 }
 
+/*
+ * An instance that is held up beyond the end of its grace period, and is not
+ * killed, answers what was in flight and what has arrived on open connections.
+ */
+static void test_answers_after_grace_period(void **state)
+{
+	site_t *site = *state;
+	mc_handle_t process = site->instances[0].process;
+	int busy[CONNECTIONS], kept[CONNECTIONS], i;
+
+	open_connections(site, kept);
+	send_requests(kept);
+	read_responses(kept);
+	set_delays(site, SLOW_MS);
+	open_connections(site, busy);
+	send_requests(busy);
+	begin_stop_and_pause(site);
+	send_requests(kept);
+	harness_sleep(LONG_PAUSE_MS);
+	harness_signal(site->harness, process, SIGCONT);
+	for (i = 0; i < CONNECTIONS; i++) {
+		assert_true(read_status(busy[i]) >= 200);
+		assert_true(read_status(kept[i]) >= 200);
+	}
+	close_connections(busy);
+	close_connections(kept);
+	assert_int_equal(harness_stop(site->harness, process, 0), 0);
+}
+
 static bool refuses_connections(void *ctx)
 {
 	const site_t *site = ctx;
@@ -181,14 +220,6 @@
 		harness_stop(site->harness, site->instances[0].process, 0), 0);
 }
 
-static void set_delays(const site_t *site, mc_ms_t delay)
-{
-	int i;
-
-	for (i = 0; i < SITE_SINGLE_REPLICAS; i++)
-		searcher_set_delay(site->single_replicas[i], delay);
-}
-
 /* SIGTERM comes again and again while requests are in flight: none is cut off,
  * and the notice period is not cut short. */
 static void test_repeated_signals(void **state)
@@ -383,6 +414,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		STOP_TEST(test_answers_accepted_requests),
+		STOP_TEST(test_answers_after_grace_period),
 		STOP_TEST(test_answers_first_request),
 		STOP_TEST(test_repeated_signals),
 		STOP_TEST(test_answers_at_end_of_grace_period),
--- a/tests/unit/runtime_test.c
+++ b/tests/unit/runtime_test.c
@@ -14,6 +14,7 @@
 enum {
 	SHARDS = 2,
 	GRACE_MS = 5000,
+	SHORT_GRACE_MS = 400,
 	/* For how long a shard is held up, longer than the runtime waits before
 	 * it first asks for unfinished work, ms. */
 	HOLD_MS = 200,
@@ -32,6 +33,10 @@
 		mc_ms_t destroyed_at;
 	} shards[SHARDS];
 	uint32_t shard_count;
+	/* For how long the main thread is held up as a shutdown begins, ms. */
+	mc_ms_t main_hold;
+	/* For how long the data shards are, ms. */
+	mc_ms_t shard_hold;
 } role_t;
 
 /* State of a data shard. */
@@ -65,6 +70,13 @@
 	return state;
 }
 
+static void begin_shutdown(void *ctx)
+{
+	const role_t *role = ctx;
+
+	usleep((useconds_t)role->main_hold * 1000);
+}
+
 /* Holds the shard up, but leaves its lock to others, like a thread that gets no
  * processor time before it takes the lock. */
 static void drain(void *ctx, mc_ms_t answer_by)
@@ -74,7 +86,7 @@
 
 	state->role->shards[state->index].answer_by = answer_by;
 	mc_shard_unlock(shard);
-	usleep(HOLD_MS * 1000);
+	usleep((useconds_t)state->role->shard_hold * 1000);
 	mc_shard_lock(shard);
 }
 
@@ -106,51 +118,78 @@
 	free(state);
 }
 
-/*
- * A shard that is held up seems to have nothing to do, but still has
- * connections to accept. The process ends after these have ended, too.
- */
-static void test_waits_for_last_connections(void **test_state)
+static const mc_runtime_ops_t ops = {
+	.name = "test",
+	.init = init_role,
+	.cleanup = cleanup_role,
+	.create_state = create_state,
+	.destroy_state = destroy_state,
+	.begin_shutdown = begin_shutdown,
+	.drain = drain,
+	.stop_accepting = stop_accepting,
+	.count_work = count_work,
+};
+
+/* Runs the role with a SIGTERM that is pending, and checks that it ends after
+ * its last connections have. */
+static void run_and_check(role_t *role, mc_ms_t grace_period,
+			  mc_ms_t notice_period)
 {
-	static const mc_runtime_ops_t ops = {
-		.name = "test",
-		.init = init_role,
-		.cleanup = cleanup_role,
-		.create_state = create_state,
-		.destroy_state = destroy_state,
-		.drain = drain,
-		.stop_accepting = stop_accepting,
-		.count_work = count_work,
-	};
-	role_t role = { 0 };
 	const mc_runtime_params_t params = {
 		.ops = &ops,
-		.role = &role,
+		.role = role,
 		.shard_count = SHARDS,
-		.grace_period = GRACE_MS,
+		.grace_period = grace_period,
+		.notice_period = notice_period,
 	};
-	mc_ms_t start = mc_clock_now(mc_clock_system());
 	int i;
 
-	(void)test_state;
-	assert_int_equal(mc_net_init(), MC_OK);
-	mc_runtime_block_signals();
 	kill(getpid(), SIGTERM);
 	assert_int_equal(mc_runtime_run(&params), MC_OK);
 	for (i = 0; i < SHARDS; i++) {
-		assert_true(role.shards[i].accepted_at > 0);
-		assert_true(role.shards[i].destroyed_at >=
-			    role.shards[i].accepted_at + WORK_MS);
+		assert_true(role->shards[i].accepted_at > 0);
+		assert_true(role->shards[i].destroyed_at >=
+			    role->shards[i].accepted_at + WORK_MS);
+	}
+}
+
+/*
+ * A shard that is held up seems to have nothing to do, but still has
+ * connections to accept. The process ends after these have ended, too.
+ */
+static void test_waits_for_last_connections(void **state)
+{
+	mc_ms_t start = mc_clock_now(mc_clock_system());
+	role_t role = { .shard_hold = HOLD_MS };
+	int i;
+
+	(void)state;
+	run_and_check(&role, GRACE_MS, 0);
+	for (i = 0; i < SHARDS; i++) {
 		assert_true(role.shards[i].answer_by > start);
 		assert_true(role.shards[i].answer_by < start + 2 * GRACE_MS);
 	}
 }
 
+/* A process that is held up beyond its grace period, and is not killed, still
+ * answers what it has accepted. */
+static void test_held_up_beyond_grace_period(void **state)
+{
+	role_t role = { .main_hold = 2 * SHORT_GRACE_MS };
+
+	(void)state;
+	run_and_check(&role, SHORT_GRACE_MS, 0);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_waits_for_last_connections),
+		cmocka_unit_test(test_held_up_beyond_grace_period),
 	};
 
+	if (mc_net_init())
+		return 1;
+	mc_runtime_block_signals();
 	return cmocka_run_group_tests(tests, NULL, NULL);
 }
