runtime: a long notice period leaves time for the requests in flight

What callers saw: nothing yet. With a notice period as long as the grace period or longer (2.5 s is the default, and the grace period is the platform's), a stop takes longer than the grace period and the process is killed with its requests.

Cause: the two are set apart, and the wait for the first didn't look at the second.

Change: the notice period takes at most half of the grace period.

Measured: test_long_notice_period of runtime_test, 3 of 3 failed before (a notice period of 60 s and a grace period of 5 s took 60 s), 3 of 3 pass.

--- a/src/runtime/include/mc/runtime.h
+++ b/src/runtime/include/mc/runtime.h
@@ -73,7 +73,7 @@
  * @log: log
  * @grace_period: longest duration of a graceful shutdown, ms
  * @notice_period: time from the start of a graceful shutdown until no new work
- *	is accepted, ms
+ *	is accepted, ms; at most half of @grace_period
  */
 typedef struct mc_runtime_params_t {
 	const mc_runtime_ops_t *ops;
--- a/src/runtime/shutdown.c
+++ b/src/runtime/shutdown.c
@@ -16,6 +16,9 @@
 	ANSWER_RESERVE_MS = 200,
 	EXIT_RESERVE_MS = 100,
 	RESERVE_DIVISOR = 4,
+	/* The notice period takes at most 1/n of the grace period; the rest is
+	 * for the work in flight. */
+	NOTICE_DIVISOR = 2,
 };
 
 /* A posted call of one of the role's functions on a data shard. */
@@ -147,6 +150,13 @@
 	return caught == SIGINT;
 }
 
+static mc_ms_t notice_period(const mc_runtime_params_t *params)
+{
+	mc_ms_t most = params->grace_period / NOTICE_DIVISOR;
+
+	return params->notice_period < most ? params->notice_period : most;
+}
+
 static void log_start(const shutdown_t *stop)
 {
 	const mc_runtime_params_t *params = &stop->runtime->params;
@@ -156,7 +166,7 @@
 	       "graceful shutdown started grace_ms=%lld notice_ms=%lld "
 	       "requests=%u connections=%u",
 	       (long long)params->grace_period,
-	       (long long)params->notice_period, work.requests,
+	       (long long)notice_period(params), work.requests,
 	       work.connections);
 }
 
@@ -244,7 +254,7 @@
 		params->ops->begin_shutdown(params->role);
 	post_to_all(runtime, run_drain,
 		    end - reserved(params, ANSWER_RESERVE_MS));
-	if (wait_interrupt(stop, params->notice_period))
+	if (wait_interrupt(stop, notice_period(params)))
 		return STOP_INTERRUPTED;
 	log_work(stop, "no further work is accepted");
 	post_to_all(runtime, run_stop_accepting, 0);
--- a/tests/unit/runtime_test.c
+++ b/tests/unit/runtime_test.c
@@ -15,6 +15,10 @@
 	SHARDS = 2,
 	GRACE_MS = 5000,
 	SHORT_GRACE_MS = 400,
+	/* A notice period that doesn't fit into the grace period, and the most
+	 * that a shutdown with a short grace period may take, ms. */
+	LONG_NOTICE_MS = 60000,
+	END_MS = 20000,
 	/* For how long a shard is held up, longer than the runtime waits before
 	 * it first asks for unfinished work, ms. */
 	HOLD_MS = 200,
@@ -181,11 +185,24 @@
 	run_and_check(&role, SHORT_GRACE_MS, 0);
 }
 
+/* A notice period that is longer than the grace period leaves time for the
+ * requests in flight. */
+static void test_long_notice_period(void **state)
+{
+	mc_ms_t start = mc_clock_now(mc_clock_system());
+	role_t role = { 0 };
+
+	(void)state;
+	run_and_check(&role, GRACE_MS, LONG_NOTICE_MS);
+	assert_true(mc_clock_now(mc_clock_system()) < start + END_MS);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_waits_for_last_connections),
 		cmocka_unit_test(test_held_up_beyond_grace_period),
+		cmocka_unit_test(test_long_notice_period),
 	};
 
 	if (mc_net_init())
