discovery: changes too many for one response are followed by a list

After an outage in which more than 4 MiB of changes came together, targets that had come meanwhile would get no requests, and those that had left would be asked, for as long as the process ran.

Cause: the HTTP client ends a response above 4 MiB. The adapter reported that as a store that is unavailable, so that the same watch was made from the same revision at once, which brings the same changes. Each round also put the other kinds' watches aside, as with a store that has stopped responding.

Ruled out: a larger limit (it bounds the memory of an instance with 160 MB, and history has no bound); a later "since" (the store gives no revision with a response that is cut).

Change: such a response is an error kind of its own; the kind is listed anew, in pages of 1 MB at most. The list is current, as after a gap in the history. The store counts as responding, and other kinds' watches go on. While the next watch is as long, lists have pauses of 50 ms to 1 s, so that a store that sends bytes without end isn't called without end. The limit of 4 MiB stays.

--- a/src/discovery/discovery_private.h
+++ b/src/discovery/discovery_private.h
@@ -35,6 +35,8 @@
  * @parked: its call failed because the store was unavailable; it resumes when
  *	the store is available again
  * @failures: number of calls that failed in a row
+ * @long_watches: number of watches in a row whose changes were more than a
+ *	response may have
  * @timer: starts the next call
  */
 typedef struct kind_sync_t {
@@ -50,6 +52,7 @@
 	mc_ms_t complete_until;
 	bool parked;
 	uint32_t failures;
+	uint32_t long_watches;
 	mc_handle_t timer;
 } kind_sync_t;
 
--- a/src/discovery/sync.c
+++ b/src/discovery/sync.c
@@ -157,24 +157,60 @@
 	discovery_schedule_publish(sync->discovery);
 }
 
-static void handle_watch_result(kind_sync_t *sync,
-				const mc_source_result_t *result)
+/* Gives up what is known to be complete of a kind, which is then listed. */
+static void begin_relist(kind_sync_t *sync)
+{
+	sync->state.is_listed = false;
+	sync->relisting_since = mc_shard_now(sync->discovery->params.shard);
+	sync->list_after[0] = '\0';
+}
+
+static void log_relist(const kind_sync_t *sync, const char *reason)
+{
+	mc_log(mc_shard_log(sync->discovery->params.shard), MC_LOG_NOTICE,
+	       "follow", "listing again: %s kind=%s above=%llu", reason,
+	       kind_params[sync->kind].name,
+	       (unsigned long long)sync->state.revision);
+}
+
+/* The same watch would bring the same response again. Returns the pause before
+ * the list, ms: should the store's next response be as long, it must not be
+ * called without end. */
+static mc_ms_t handle_long_watch(kind_sync_t *sync)
+{
+	log_relist(sync, "changes are more than a response may have");
+	sync->state.needed = MC_READ_CURRENT;
+	begin_relist(sync);
+	return discovery_backoff(sync->discovery, sync->long_watches++);
+}
+
+static void handle_history_gone(kind_sync_t *sync)
+{
+	log_relist(sync, "store has dropped the changes");
+	discovery_relist(sync, MC_READ_CURRENT);
+	discovery_restart_watches(sync->discovery);
+}
+
+/* Returns the pause before the kind's next call, ms. */
+static mc_ms_t handle_watch_result(kind_sync_t *sync,
+				   const mc_source_result_t *result)
 {
 	uint64_t since = sync->state.revision;
 
+	if (result->err == MC_ERR_TOO_LARGE)
+		return handle_long_watch(sync);
+	sync->long_watches = 0;
 	if (result->err == MC_ERR_HISTORY_GONE) {
-		mc_log(mc_shard_log(sync->discovery->params.shard),
-		       MC_LOG_NOTICE, "follow",
-		       "listing again: store has dropped the changes kind=%s "
-		       "above=%llu",
-		       kind_params[sync->kind].name, (unsigned long long)since);
-		discovery_relist(sync, MC_READ_CURRENT);
-		discovery_restart_watches(sync->discovery);
-		return;
+		handle_history_gone(sync);
+		return 0;
 	}
 	discovery_apply_changes(sync, result);
 	if (result->raw)
 		peers_send_changes(sync, since, result->raw);
+	return result->record_count &&
+			       result->record_count < PARTIAL_CHANGES_MIN
+		       ? batch_delay(sync)
+		       : 0;
 }
 
 bool discovery_predates_start(const kind_sync_t *sync)
@@ -316,11 +352,7 @@
 			       ? 0
 			       : mc_read_stale_pause(&sync->state,
 						     apply_max(sync));
-	handle_watch_result(sync, result);
-	return result->record_count &&
-			       result->record_count < PARTIAL_CHANGES_MIN
-		       ? batch_delay(sync)
-		       : 0;
+	return handle_watch_result(sync, result);
 }
 
 static void on_result(void *ctx, const mc_source_result_t *result)
@@ -330,7 +362,8 @@
 
 	sync->in_flight = false;
 	discovery_note_store_result(sync->discovery, result->err);
-	if (result->err && result->err != MC_ERR_HISTORY_GONE) {
+	if (result->err && result->err != MC_ERR_HISTORY_GONE &&
+	    result->err != MC_ERR_TOO_LARGE) {
 		handle_failure(sync);
 		return;
 	}
@@ -426,9 +459,7 @@
 		discovery->params.source->cancel_watch(discovery->source,
 						       sync->kind);
 	sync->in_flight = false;
-	sync->state.is_listed = false;
-	sync->relisting_since = mc_shard_now(discovery->params.shard);
-	sync->list_after[0] = '\0';
+	begin_relist(sync);
 	discovery_resume_sync(sync);
 }
 
--- a/tests/system/malformed_test.c
+++ b/tests/system/malformed_test.c
@@ -21,6 +21,11 @@
 	RANDOM_MESSAGES = 40,
 	MESSAGE_MAX = 4096,
 	SEED = 7,
+	/* Number of a searcher that starts later, not used by the site's. */
+	LATE_NUMBER = 10,
+	/* Over-long responses in a row after which an instance would ask for
+	 * them for ever. */
+	LONG_RESPONSES_MAX = 3,
 };
 
 /* Each test case that runs in parallel uses its own directory. */
@@ -175,6 +180,43 @@
 	check_alive(site);
 }
 
+typedef struct {
+	site_t *site;
+	searcher_t *searcher;
+} late_searcher_t;
+
+static bool reaches_late_searcher(void *ctx)
+{
+	const late_searcher_t *late = ctx;
+
+	site_send_request(late->site, 0, "GET", "/one/x", TIME_LEFT_MS);
+	return searcher_count_requests(late->searcher) > 0;
+}
+
+/*
+ * The changes that were made while the store was unreachable are more than an
+ * instance takes in one response. Asked for again and again they never come:
+ * the targets must be listed instead.
+ */
+static void test_long_watch_response(void **state)
+{
+	site_t *site = *state;
+	late_searcher_t late = { .site = site };
+
+	late.searcher = searcher_start("single", "dc0", LATE_NUMBER);
+	object_store_set_down(site->object_store, true);
+	harness_sleep(TIME_LEFT_MS);
+	searcher_register(late.searcher, site->object_store, "ready");
+	object_store_make_changes_long(site->object_store, "servers");
+	object_store_set_down(site->object_store, false);
+	harness_wait_until("a target of the long response is used",
+			   reaches_late_searcher, &late);
+	assert_in_range(object_store_long_response_count(site->object_store), 1,
+			LONG_RESPONSES_MAX);
+	check_alive(site);
+	searcher_stop(late.searcher);
+}
+
 #define MALFORMED_TEST(test) \
 	cmocka_unit_test_setup_teardown(test, set_up, tear_down)
 
@@ -183,6 +225,7 @@
 	const struct CMUnitTest tests[] = {
 		MALFORMED_TEST(test_bytes_at_ports),
 		MALFORMED_TEST(test_records_of_the_store),
+		MALFORMED_TEST(test_long_watch_response),
 	};
 
 	if (argc > 1) {
--- a/tests/system/object_store.c
+++ b/tests/system/object_store.c
@@ -15,6 +15,8 @@
 	NAME_SIZE = 128,
 	/* Small, so that tests read lists of several pages. */
 	PAGE_SIZE = 7,
+	/* Size of a response that is longer than clients take, bytes. */
+	LONG_BODY_SIZE = 5 << 20,
 	MS_PER_S = 1000,
 	NS_PER_MS = 1000000,
 };
@@ -37,6 +39,11 @@
 	uint64_t history_start;
 	/* Revision of lists that may be stale; 0 for the current one. */
 	uint64_t stale_revision;
+	/* Kind whose changes up to a revision are too many for a client; "" for
+	 * none. */
+	char long_kind[NAME_SIZE];
+	uint64_t long_until;
+	uint32_t long_responses;
 	bool unresponsive;
 	/* Kind whose requests are held back; "" for none. */
 	char silent_kind[NAME_SIZE];
@@ -339,6 +346,30 @@
 	       (*store->silent_kind && !strcmp(kind, store->silent_kind));
 }
 
+/* Whether a request is a watch whose response is longer than clients take. */
+static bool is_long(const object_store_t *store, const raw_request_t *request)
+{
+	char kind[NAME_SIZE] = "", value[NAME_SIZE];
+
+	sscanf(request->target, "/v1/objects/%127[^/?]", kind);
+	return *store->long_kind && !strcmp(kind, store->long_kind) &&
+	       get_query_value(request->target, "watch", value) &&
+	       strtoull(value, NULL, 10) < store->long_until;
+}
+
+/* Writes the start of a long response, whose end is repeated. */
+static raw_connection_action_t begin_long_response(char *response, size_t *size)
+{
+	*size = (size_t)snprintf(response, RAW_RESPONSE_MAX,
+				 "HTTP/1.1 200 X\r\nContent-Length: %d\r\n"
+				 "Content-Type: application/json\r\n\r\n"
+				 "{\"events\":[",
+				 LONG_BODY_SIZE);
+	memset(response + *size, ' ', RAW_FILLER_SIZE);
+	*size += RAW_FILLER_SIZE;
+	return RAW_ENDLESS;
+}
+
 static raw_connection_action_t handle_request(void *ctx,
 					      const raw_request_t *request,
 					      char *response, size_t *size)
@@ -351,6 +382,12 @@
 	pthread_mutex_lock(&store->lock);
 	while (is_held(store, request) && !store->stopping)
 		pthread_cond_wait(&store->changed, &store->lock);
+	if (is_long(store, request)) {
+		store->request_count++;
+		store->long_responses++;
+		pthread_mutex_unlock(&store->lock);
+		return begin_long_response(response, size);
+	}
 	json = serve_request(store, request, &status);
 	store->request_count++;
 	/* The response shares parts with the objects. */
@@ -430,6 +467,24 @@
 	pthread_mutex_unlock(&store->lock);
 }
 
+void object_store_make_changes_long(object_store_t *store, const char *kind)
+{
+	pthread_mutex_lock(&store->lock);
+	snprintf(store->long_kind, sizeof(store->long_kind), "%s", kind);
+	store->long_until = store->revision;
+	pthread_mutex_unlock(&store->lock);
+}
+
+uint32_t object_store_long_response_count(object_store_t *store)
+{
+	uint32_t count;
+
+	pthread_mutex_lock(&store->lock);
+	count = store->long_responses;
+	pthread_mutex_unlock(&store->lock);
+	return count;
+}
+
 void object_store_set_down(object_store_t *store, bool down)
 {
 	raw_server_set_refusing(store->server, down);
--- a/tests/system/object_store.h
+++ b/tests/system/object_store.h
@@ -76,6 +76,19 @@
  */
 void object_store_set_stale(object_store_t *store, bool stale);
 
+/**
+ * object_store_make_changes_long() - Make the changes of a kind until now many
+ * @store: the store
+ * @kind: kind of the objects
+ *
+ * A watch that begins before the current revision gets a response of 5 MiB;
+ * lists and later watches are as usual.
+ */
+void object_store_make_changes_long(object_store_t *store, const char *kind);
+
+/** object_store_long_response_count() - Return the number of such responses */
+uint32_t object_store_long_response_count(object_store_t *store);
+
 /**
  * object_store_set_down() - Make the store unreachable, or reachable again
  * @store: the store
--- a/tests/unit/discovery_test.c
+++ b/tests/unit/discovery_test.c
@@ -23,6 +23,10 @@
 	 */
 	LONG_APPLY_MAX_MS = 8000,
 	PEERS = 9,
+	/* Over-long responses in a row, and the least time that they take with
+	 * the pauses in between, ms. */
+	LONG_RESPONSES = 4,
+	LONG_RESPONSES_PAUSE_MS = 50 + 100 + 200 + 400,
 };
 
 /* The open call of one kind; the test completes it on the shard. */
@@ -409,6 +413,46 @@
 	assert_int_equal(wait_target_count(fixture, 1), 1);
 }
 
+/*
+ * The changes are more than a response may have: asked for again, they would be
+ * as many. The records are listed anew, and while that does not help, with
+ * growing pauses, as each such response costs much.
+ */
+static void test_long_watch_response(void **state)
+{
+	fixture_t *fixture = *state;
+	mc_source_record_t a = target_record("a"), b = target_record("b");
+	reply_t reply = {
+		.kind = MC_SOURCE_TARGETS,
+		.result = { .revision = 40, .record_count = 1, .records = &a },
+	};
+	mc_ms_t start;
+	int i;
+
+	complete(fixture, &reply);
+	start = mc_clock_now(mc_clock_system());
+	for (i = 0; i < LONG_RESPONSES; i++) {
+		assert_true(wait_call(fixture, MC_SOURCE_TARGETS).is_watch);
+		reply.result = (mc_source_result_t){ .err = MC_ERR_TOO_LARGE };
+		complete(fixture, &reply);
+		assert_false(wait_call(fixture, MC_SOURCE_TARGETS).is_watch);
+		assert_false(wait_call(fixture, MC_SOURCE_TARGETS).allow_stale);
+		reply.result = (mc_source_result_t){
+			.revision = 90,
+			.record_count = 1,
+			.records = &b,
+		};
+		complete(fixture, &reply);
+		assert_int_equal(wait_call(fixture, MC_SOURCE_TARGETS).since,
+				 90);
+	}
+	assert_true(mc_clock_now(mc_clock_system()) - start >=
+		    LONG_RESPONSES_PAUSE_MS);
+	/* The store has responded: other kinds need no new watch. */
+	assert_int_equal(fake_source.canceled_watches, 0);
+	assert_int_equal(wait_target_count(fixture, 1), 1);
+}
+
 /*
  * An older version never replaces the route map in force, and neither does the
  * loss of the store.
@@ -843,6 +887,7 @@
 	const struct CMUnitTest tests[] = {
 		ORDERS_TEST(test_list_and_watch),
 		ORDERS_TEST(test_history_gone),
+		ORDERS_TEST(test_long_watch_response),
 		ORDERS_TEST(test_older_routemap_ignored),
 		DISCOVERY_TEST(test_watches_restarted),
 		DISCOVERY_TEST(test_unavailable_store_polled_by_one_kind),
