registry: the store's revision tells the later entry of a target

A target that starts again under its id after its clock was set back would not be used, or be asked at the address of its former incarnation; it would get the requests of a warm target while it is cold, and be asked on after it has said that it drains.

Cause: an entry with an earlier start time than the known one was taken for an entry of an older incarnation that is read late. The start time is the target's own, and its clock may be set back. Removals weren't compared with anything: one that is older than the known entry took the target out of use.

Evidence, before the change: unit_discovery restart_with_clock_set_back (the view kept start time 9000 in place of 5000) and known_removal_is_not_repeated (the target was leaving) failed; with the former comparison put back, unit_registry clock_set_back fails and system_malformed_restart_with_clock_set_back finds after 30 s that the new incarnation got no request. Looked at and found right: the data shards take any other start time for another target (health, connections, notices).

Change: the registry orders entries, removals and lists of a target by the store's revision. An entry up to the revision of its removal, or of a list that lacks it, doesn't bring a leaving target back, whichever way it was read, and a list that is older than an entry doesn't remove it. With each of these switched off, unit_registry entry_read_after_removal or list_and_late_entries fails. A revision that is unknown (0) outdates nothing.

Changed test: unit_registry warmup told the older entry by its start time; it now has the revisions that the store gives, with the same expectations.

--- a/src/discovery/discovery_private.h
+++ b/src/discovery/discovery_private.h
@@ -119,10 +119,10 @@
 /** discovery_list_begin() - Prepare the registry for a kind's full list */
 void discovery_list_begin(mc_discovery_t *discovery, mc_source_kind_t kind);
 
-/** discovery_list_end() - Start the removal of targets that were not listed;
- * their grace periods count from @at, ms */
+/** discovery_list_end() - Start the removal of targets that were not listed up
+ * to @revision of the store; their grace periods count from @at, ms */
 void discovery_list_end(mc_discovery_t *discovery, mc_source_kind_t kind,
-			mc_ms_t at);
+			uint64_t revision, mc_ms_t at);
 
 /** discovery_backoff() - Get the wait after @failures failures in a row, ms */
 mc_ms_t discovery_backoff(mc_discovery_t *discovery, uint32_t failures);
--- a/src/discovery/include/mc/source.h
+++ b/src/discovery/include/mc/source.h
@@ -44,9 +44,10 @@
 /**
  * struct mc_source_record_t - A record, or the removal of one
  * @name: name of the record, unique within the kind
- * @removed: the record was removed; only @name is set
+ * @removed: the record was removed; only @name and @revision are set
  * @revision: revision of the store at which the record was last changed; 0 if
- *	unknown
+ *	unknown. Of a removal it is that of the removal, or of the last change
+ *	before
  * @decode_error: why the record could not be decoded; NULL when it could
  * @map: MC_SOURCE_ROUTEMAP: the route map; a receiver that keeps it must take a
  *	reference
--- a/src/discovery/records.c
+++ b/src/discovery/records.c
@@ -59,7 +59,7 @@
 		if (record->decode_error)
 			discovery_log_invalid(discovery, "target", record);
 		mc_registry_remove_target(discovery->registry, record->name,
-					  at);
+					  record->revision, at);
 		mc_log(mc_shard_log(discovery->params.shard), MC_LOG_INFO,
 		       "follow",
 		       "target leaving: entry removed or invalid target=%s",
@@ -73,16 +73,17 @@
 					   entry->version);
 	/* A target may have begun to drain when the upstream was lost, so that
 	 * its grace period counts from @at; a warm-up counts from now. */
-	if (mc_registry_put_target(discovery->registry, entry,
+	if (mc_registry_put_target(discovery->registry, entry, record->revision,
 				   entry->draining ? at : now))
 		mc_log(mc_shard_log(discovery->params.shard), MC_LOG_ERROR,
 		       "follow", "target ignored: %s", mc_last_error_message());
 	mc_log(mc_shard_log(discovery->params.shard), MC_LOG_INFO, "follow",
 	       "target entry read target=%s service=%s version=%s address=%s "
-	       "draining=%d cold_ms=%lld started=%lld",
+	       "draining=%d cold_ms=%lld started=%lld revision=%llu",
 	       entry->id, entry->service, entry->version, entry->address,
 	       entry->draining, (long long)entry->warmup_left,
-	       (long long)entry->started_at);
+	       (long long)entry->started_at,
+	       (unsigned long long)record->revision);
 }
 
 static void apply_data_center_out(mc_discovery_t *discovery,
@@ -206,10 +207,10 @@
 }
 
 void discovery_list_end(mc_discovery_t *discovery, mc_source_kind_t kind,
-			mc_ms_t at)
+			uint64_t revision, mc_ms_t at)
 {
 	if (kind == MC_SOURCE_TARGETS)
-		mc_registry_list_end(discovery->registry, at);
+		mc_registry_list_end(discovery->registry, revision, at);
 	if (kind == MC_SOURCE_ROLLOUTS) {
 		mc_rollouts_list_end(discovery->rollouts);
 		mc_registry_end_confirmation(discovery->registry);
--- a/src/discovery/sync.c
+++ b/src/discovery/sync.c
@@ -251,7 +251,7 @@
 	bool is_in_use = sync->state.revision >= discovery->start_revision;
 
 	/* Targets that were never published need no grace period. */
-	discovery_list_end(discovery, sync->kind,
+	discovery_list_end(discovery, sync->kind, sync->list_revision,
 			   is_in_use ? changed_since(sync) : 0);
 	/* The watch reports the changes made since the oldest page was read. */
 	set_revision(sync, sync->list_revision);
--- a/src/registry/include/mc/registry.h
+++ b/src/registry/include/mc/registry.h
@@ -39,8 +39,10 @@
  * @slots: number of requests that it runs concurrently
  * @draining: it will stop soon
  * @warmup_left: remaining warm-up time, ms; 0 when it is warm
- * @started_at: start time, ms since the Unix epoch; an entry with the same id
- *	and another start time belongs to another incarnation of the target
+ * @started_at: start time by the target's clock, ms since the Unix epoch; an
+ *	entry with the same id and another start time belongs to another
+ *	incarnation of the target, which may be the later one even if its time
+ *	is earlier, as clocks are set back
  */
 typedef struct mc_target_entry_t {
 	char id[MC_REGISTRY_NAME_SIZE];
@@ -70,21 +72,26 @@
  * mc_registry_put_target() - Add or update a target from its entry
  * @registry: the registry
  * @entry: the entry; copied
+ * @revision: revision of the store at which it was written; 0 if unknown
  * @now: time from which its warm-up and, if it is draining, its grace period
  *	count, ms
  *
- * An entry of an older incarnation than the known one is ignored, as it was
- * read late, and so is an entry of an unknown target that is already draining.
+ * Revisions alone tell which entry of a target is the later one. An entry that
+ * is older than the known one, or than its removal, was read late and is
+ * ignored, and so is an entry of an unknown target that is already draining.
  *
  * Return: MC_OK; MC_ERR_FULL with a last message.
  */
 mc_err_t mc_registry_put_target(mc_registry_t *registry,
-				const mc_target_entry_t *entry, mc_ms_t now);
+				const mc_target_entry_t *entry,
+				uint64_t revision, mc_ms_t now);
 
 /**
  * mc_registry_remove_target() - Handle the removal of a target's entry
  * @registry: the registry
  * @id: id of the target; an unknown one is ignored
+ * @revision: revision of the removal, or of the last entry before it; 0 if
+ *	unknown. A removal that is older than the known entry is ignored
  * @now: time from which the grace period counts, ms
  *
  * The target is kept, marked as leaving, for MC_REGISTRY_REMOVAL_GRACE_MS: it
@@ -92,18 +99,23 @@
  * it registers again.
  */
 void mc_registry_remove_target(mc_registry_t *registry, const char *id,
-			       mc_ms_t now);
+			       uint64_t revision, mc_ms_t now);
 
 /** mc_registry_list_begin() - Begin a full list of entries */
 void mc_registry_list_begin(mc_registry_t *registry);
 
 /**
  * mc_registry_list_end() - End a full list of entries
+ * @registry: the registry
+ * @revision: revision of the store up to which the list is complete; 0 if
+ *	unknown
+ * @now: time from which grace periods count, ms
  *
  * A target whose entry was not put since mc_registry_list_begin() is removed as
  * with mc_registry_remove_target().
  */
-void mc_registry_list_end(mc_registry_t *registry, mc_ms_t now);
+void mc_registry_list_end(mc_registry_t *registry, uint64_t revision,
+			  mc_ms_t now);
 
 /** mc_registry_accept_version() - Note that a version of a service may be used,
  * as far as no rule forbids it */
--- a/src/registry/registry.c
+++ b/src/registry/registry.c
@@ -1,7 +1,8 @@
 /*
  * Keeps the registered targets in a table, indexed by id. A target whose entry
  * is removed is kept for a grace period, and stays if it is registered again
- * within that time.
+ * within that time. The store's revisions tell which of two entries, or of an
+ * entry and a removal, is the later one, in whatever order they are read.
  */
 #include "mc/registry.h"
 
@@ -16,6 +17,12 @@
 typedef struct {
 	mc_handle_t handle;
 	mc_target_entry_t entry;
+	/* Revision of the store at which the entry was written; 0 if unknown.
+	 */
+	uint64_t revision;
+	/* Entries up to this revision are known to be gone; 0 while the target
+	 * is registered. */
+	uint64_t removed_revision;
 	mc_ms_t warmup_until;
 	/* When the record is removed, ms; MC_MS_NEVER while the target is
 	 * registered and not draining. */
@@ -113,11 +120,34 @@
 	registry->changed = true;
 }
 
+/* Whether an entry was read late: a later one, or its removal, is known. */
+static bool is_outdated(const record_t *record, uint64_t revision)
+{
+	if (!revision)
+		return false;
+	return revision < record->revision ||
+	       revision <= record->removed_revision;
+}
+
+/* The warm-up counts from the first time that an entry is read; reading the
+ * same entry again must not prolong it. */
+static void update_warmup(record_t *record, const mc_target_entry_t *entry,
+			  mc_ms_t now)
+{
+	bool repeated = entry->started_at == record->entry.started_at &&
+			entry->warmup_left == record->entry.warmup_left &&
+			record->warmup_until;
+
+	if (!repeated)
+		record->warmup_until =
+			entry->warmup_left > 0 ? now + entry->warmup_left : 0;
+}
+
 mc_err_t mc_registry_put_target(mc_registry_t *registry,
-				const mc_target_entry_t *entry, mc_ms_t now)
+				const mc_target_entry_t *entry,
+				uint64_t revision, mc_ms_t now)
 {
 	record_t *record = find_target(registry, entry->id);
-	bool repeated;
 
 	/* A target that was already draining when first read is not used. */
 	if (!record && entry->draining)
@@ -127,18 +157,12 @@
 	if (!record)
 		return mc_fail(MC_ERR_FULL, "no room for target %s", entry->id);
 	record->listed = true;
-	/* The entry of an older incarnation may be read late. */
-	if (entry->started_at < record->entry.started_at)
+	if (is_outdated(record, revision))
 		return MC_OK;
-	/* The warm-up counts from the first time that an entry is read; reading
-	 * the same entry again must not prolong it. */
-	repeated = entry->started_at == record->entry.started_at &&
-		   entry->warmup_left == record->entry.warmup_left &&
-		   record->warmup_until;
-	if (!repeated)
-		record->warmup_until =
-			entry->warmup_left > 0 ? now + entry->warmup_left : 0;
+	update_warmup(record, entry, now);
 	record->entry = *entry;
+	record->revision = revision;
+	record->removed_revision = 0;
 	record->unconfirmed =
 		!versions_accept_known(registry->versions, entry->service,
 				       entry->version, !registry->listed_once);
@@ -151,8 +175,14 @@
 }
 
 static void begin_removal(mc_registry_t *registry, record_t *record,
-			  mc_ms_t now)
+			  uint64_t revision, mc_ms_t now)
 {
+	if (!revision)
+		revision = record->revision;
+	if (revision < record->revision)
+		return;
+	if (record->removed_revision < revision)
+		record->removed_revision = revision;
 	if (record->remove_at != MC_MS_NEVER)
 		return;
 	record->remove_at = now + MC_REGISTRY_REMOVAL_GRACE_MS;
@@ -160,12 +190,12 @@
 }
 
 void mc_registry_remove_target(mc_registry_t *registry, const char *id,
-			       mc_ms_t now)
+			       uint64_t revision, mc_ms_t now)
 {
 	record_t *record = find_target(registry, id);
 
 	if (record)
-		begin_removal(registry, record, now);
+		begin_removal(registry, record, revision, now);
 }
 
 void mc_registry_list_begin(mc_registry_t *registry)
@@ -178,7 +208,8 @@
 		record->listed = false;
 }
 
-void mc_registry_list_end(mc_registry_t *registry, mc_ms_t now)
+void mc_registry_list_end(mc_registry_t *registry, uint64_t revision,
+			  mc_ms_t now)
 {
 	uint32_t cursor = 0;
 	mc_handle_t handle;
@@ -186,7 +217,7 @@
 
 	while ((record = mc_table_next(registry->targets, &cursor, &handle)))
 		if (!record->listed)
-			begin_removal(registry, record, now);
+			begin_removal(registry, record, revision, now);
 	registry->listed_once = true;
 }
 
--- a/tests/system/malformed_test.c
+++ b/tests/system/malformed_test.c
@@ -1,7 +1,8 @@
 /*
  * System tests of malformed messages at the tier: at its ports for callers,
- * peers, readiness and metrics, and in the store's records. None of them may
- * end the process or keep it from serving.
+ * peers, readiness and metrics, and in the store's records; and of what the
+ * store may well say, but rarely does. None of them may end the process or keep
+ * it from serving.
  */
 #include <setjmp.h>
 #include <signal.h>
@@ -217,6 +218,30 @@
 	searcher_stop(late.searcher);
 }
 
+/*
+ * A target starts again under its id, at another address and with its clock set
+ * back. Taken for a late entry of its former incarnation, it is never used.
+ */
+static void test_restart_with_clock_set_back(void **state)
+{
+	site_t *site = *state;
+	searcher_t *former = site->single_replicas[0];
+	late_searcher_t late = { .site = site };
+
+	/* It starts later each time. */
+	searcher_restart(former);
+	searcher_register(former, site->object_store, "ready");
+	late.searcher = searcher_start("single", "dc0", 0);
+	assert_string_equal(searcher_id(late.searcher), searcher_id(former));
+	searcher_set_down(former, true);
+	harness_sleep(TIME_LEFT_MS);
+	searcher_register(late.searcher, site->object_store, "ready");
+	harness_wait_until("the next incarnation is used",
+			   reaches_late_searcher, &late);
+	check_alive(site);
+	searcher_stop(late.searcher);
+}
+
 #define MALFORMED_TEST(test) \
 	cmocka_unit_test_setup_teardown(test, set_up, tear_down)
 
@@ -226,6 +251,7 @@
 		MALFORMED_TEST(test_bytes_at_ports),
 		MALFORMED_TEST(test_records_of_the_store),
 		MALFORMED_TEST(test_long_watch_response),
+		MALFORMED_TEST(test_restart_with_clock_set_back),
 	};
 
 	if (argc > 1) {
--- a/tests/unit/discovery_test.c
+++ b/tests/unit/discovery_test.c
@@ -877,6 +877,105 @@
 	assert_true(is_leaving(fixture));
 }
 
+/* Copies the view's only target; false without one, or before a view. */
+static bool get_only_target(fixture_t *fixture, mc_registry_view_target_t *out)
+{
+	bool found;
+
+	mc_shard_lock(fixture->shard);
+	found = fixture->view && fixture->view->target_count == 1;
+	if (found)
+		*out = fixture->view->targets[0];
+	mc_shard_unlock(fixture->shard);
+	return found;
+}
+
+/*
+ * A target starts again under its id after its clock was set back. Taken for a
+ * late entry of its former incarnation, it would be asked at its former
+ * address, get no time to warm up, and be asked on when it drains.
+ */
+static void test_restart_with_clock_set_back(void **state)
+{
+	fixture_t *fixture = *state;
+	mc_source_record_t former = target_record("a"),
+			   next = target_record("a");
+	reply_t reply = {
+		.kind = MC_SOURCE_TARGETS,
+		.result = { .revision = 40,
+			    .record_count = 1,
+			    .records = &former },
+	};
+	mc_registry_view_target_t target = { 0 };
+	mc_ms_t end = mc_clock_now(mc_clock_system()) + WAIT_MS;
+
+	former.revision = 35;
+	former.target.started_at = 9000;
+	next.revision = 44;
+	next.target.started_at = 5000;
+	next.target.warmup_left = 60000;
+	snprintf(next.target.address, sizeof(next.target.address),
+		 "10.0.0.2:80");
+	complete(fixture, &reply);
+	reply.result = (mc_source_result_t){ .revision = 45,
+					     .record_count = 1,
+					     .records = &next };
+	complete(fixture, &reply);
+	do
+		usleep(1000);
+	while ((!get_only_target(fixture, &target) ||
+		target.entry.started_at != 5000) &&
+	       mc_clock_now(mc_clock_system()) < end);
+	assert_int_equal(target.entry.started_at, 5000);
+	assert_string_equal(target.entry.address, "10.0.0.2:80");
+	assert_true(target.warmup_until > 0);
+	next.revision = 46;
+	next.target.draining = true;
+	reply.result.revision = 47;
+	complete(fixture, &reply);
+	while (!is_leaving(fixture) && mc_clock_now(mc_clock_system()) < end)
+		usleep(1000);
+	assert_true(is_leaving(fixture));
+}
+
+/*
+ * An upstream that was behind relays the removal of an entry that was written
+ * again since, with what came after it. Applied again alone, as the later
+ * change is known, it would take the target out of use for good.
+ */
+static void test_known_removal_is_not_repeated(void **state)
+{
+	fixture_t *fixture = *state;
+	mc_source_record_t known = target_record("a");
+	mc_source_record_t repeated[2] = {
+		{ .name = "a", .removed = true, .revision = 44 },
+	};
+	reply_t reply = {
+		.kind = MC_SOURCE_TARGETS,
+		.result = { .revision = 48,
+			    .record_count = 1,
+			    .records = &known },
+	};
+
+	known.revision = 46;
+	repeated[1] = known;
+	complete(fixture, &reply);
+	assert_int_equal(wait_target_count(fixture, 1), 1);
+	reply.result = (mc_source_result_t){ .revision = 50,
+					     .record_count = 2,
+					     .records = repeated };
+	complete(fixture, &reply);
+	usleep(50000);
+	assert_false(is_leaving(fixture));
+	/* A removal that is new, but bears the revision of the last change. */
+	repeated[0].revision = 46;
+	reply.result = (mc_source_result_t){ .revision = 52,
+					     .record_count = 1,
+					     .records = repeated };
+	complete(fixture, &reply);
+	assert_int_equal(wait_target_count(fixture, 0), 0);
+}
+
 #define DISCOVERY_TEST(test) \
 	cmocka_unit_test_setup_teardown(test, set_up, tear_down)
 #define ORDERS_TEST(test) \
@@ -899,6 +998,8 @@
 			test_drain_while_upstream_is_expected,
 			set_up_with_relay, tear_down),
 		ORDERS_TEST(test_known_changes_are_not_repeated),
+		ORDERS_TEST(test_restart_with_clock_set_back),
+		ORDERS_TEST(test_known_removal_is_not_repeated),
 		ORDERS_TEST(test_many_changes),
 	};
 
--- a/tests/unit/registry_test.c
+++ b/tests/unit/registry_test.c
@@ -26,10 +26,19 @@
 	return entry;
 }
 
+static void put_target_at(mc_registry_t *registry, mc_target_entry_t target,
+			  uint64_t revision, mc_ms_t now)
+{
+	assert_int_equal(
+		mc_registry_put_target(registry, &target, revision, now),
+		MC_OK);
+}
+
+/* Puts an entry whose revision is unknown. */
 static void put_target(mc_registry_t *registry, mc_target_entry_t target,
 		       mc_ms_t now)
 {
-	assert_int_equal(mc_registry_put_target(registry, &target, now), MC_OK);
+	put_target_at(registry, target, 0, now);
 }
 
 /* Returns the view's only target, or NULL. */
@@ -65,11 +74,11 @@
 	(void)state;
 	put_target(registry, make_entry("a", 5), 0);
 	expect_target(registry, 0, true, false);
-	mc_registry_remove_target(registry, "a", 1000);
+	mc_registry_remove_target(registry, "a", 0, 1000);
 	expect_target(registry, 1000, true, true);
 	put_target(registry, make_entry("a", 5), 2900);
 	expect_target(registry, 60000, true, false);
-	mc_registry_remove_target(registry, "a", 70000);
+	mc_registry_remove_target(registry, "a", 0, 70000);
 	expect_target(registry, 70000 + MC_REGISTRY_REMOVAL_GRACE_MS - 1, true,
 		      true);
 	expect_target(registry, 70000 + MC_REGISTRY_REMOVAL_GRACE_MS, false,
@@ -110,7 +119,7 @@
 	put_target(registry, make_entry("b", 5), 0);
 	mc_registry_list_begin(registry);
 	put_target(registry, make_entry("b", 5), 10);
-	mc_registry_list_end(registry, 10);
+	mc_registry_list_end(registry, 0, 10);
 	assert_true(mc_registry_expire(registry, 10, &next));
 	assert_int_equal(next, 10 + MC_REGISTRY_REMOVAL_GRACE_MS);
 	mc_registry_expire(registry, next, &next);
@@ -129,15 +138,15 @@
 
 	(void)state;
 	cold.warmup_left = 3000;
-	put_target(registry, cold, 100);
-	put_target(registry, cold, 2000);
+	put_target_at(registry, cold, 20, 100);
+	put_target_at(registry, cold, 20, 2000);
 	view = mc_registry_make_view(registry);
 	assert_int_equal(only_target(view)->warmup_until, 3100);
 	mc_registry_view_unref(view);
 	/* A new incarnation warms up anew; an older one is ignored. */
 	cold.started_at = 9;
-	put_target(registry, cold, 4000);
-	put_target(registry, make_entry("a", 5), 4100);
+	put_target_at(registry, cold, 30, 4000);
+	put_target_at(registry, make_entry("a", 5), 20, 4100);
 	view = mc_registry_make_view(registry);
 	assert_int_equal(only_target(view)->warmup_until, 7000);
 	assert_int_equal(only_target(view)->entry.started_at, 9);
@@ -145,6 +154,83 @@
 	mc_registry_destroy(registry);
 }
 
+/*
+ * Clocks of targets are set back: an incarnation that says that it started
+ * earlier may be the later one. It has its own warm-up, and neither the notice
+ * of the former one that it drains nor its removal are taken for its own.
+ */
+static void test_clock_set_back(void **state)
+{
+	mc_registry_t *registry = mc_registry_create();
+	mc_target_entry_t draining = make_entry("a", 9),
+			  cold = make_entry("a", 5);
+	const mc_registry_view_t *view;
+
+	(void)state;
+	draining.draining = true;
+	cold.warmup_left = 3000;
+	put_target_at(registry, make_entry("a", 9), 20, 0);
+	put_target_at(registry, draining, 21, 1000);
+	put_target_at(registry, cold, 22, 2000);
+	expect_target(registry, 60000, true, false);
+	view = mc_registry_make_view(registry);
+	assert_int_equal(only_target(view)->entry.started_at, 5);
+	assert_int_equal(only_target(view)->warmup_until, 5000);
+	mc_registry_view_unref(view);
+	/* What is read late of the former one changes nothing. */
+	put_target_at(registry, draining, 21, 60000);
+	mc_registry_remove_target(registry, "a", 21, 60000);
+	expect_target(registry, 60000, true, false);
+	/* The new one's own notice does. */
+	cold.draining = true;
+	put_target_at(registry, cold, 23, 61000);
+	expect_target(registry, 61000, true, true);
+	mc_registry_destroy(registry);
+}
+
+/*
+ * An entry that is read after its removal, as it was relayed late or comes from
+ * an older list, must not bring the target back; a later entry does.
+ */
+static void test_entry_read_after_removal(void **state)
+{
+	mc_registry_t *registry = mc_registry_create();
+
+	(void)state;
+	put_target_at(registry, make_entry("a", 5), 20, 0);
+	mc_registry_remove_target(registry, "a", 25, 1000);
+	put_target_at(registry, make_entry("a", 5), 20, 1100);
+	/* Of a time at which this instance had not read it. */
+	put_target_at(registry, make_entry("a", 9), 24, 1100);
+	expect_target(registry, 1100, true, true);
+	put_target_at(registry, make_entry("a", 9), 26, 1200);
+	expect_target(registry, 60000, true, false);
+	/* A removal may bear the revision of the last entry. */
+	mc_registry_remove_target(registry, "a", 26, 70000);
+	put_target_at(registry, make_entry("a", 9), 26, 70100);
+	expect_target(registry, 70000 + MC_REGISTRY_REMOVAL_GRACE_MS, false,
+		      false);
+	mc_registry_destroy(registry);
+}
+
+/* A list that is older than an entry says nothing of it, and one that lacks an
+ * entry outweighs it. */
+static void test_list_and_late_entries(void **state)
+{
+	mc_registry_t *registry = mc_registry_create();
+
+	(void)state;
+	put_target_at(registry, make_entry("a", 5), 20, 0);
+	mc_registry_list_begin(registry);
+	mc_registry_list_end(registry, 19, 10);
+	expect_target(registry, 10, true, false);
+	mc_registry_list_begin(registry);
+	mc_registry_list_end(registry, 30, 20);
+	put_target_at(registry, make_entry("a", 5), 20, 30);
+	expect_target(registry, 30, true, true);
+	mc_registry_destroy(registry);
+}
+
 static void test_data_center_out(void **state)
 {
 	mc_registry_t *registry = mc_registry_create();
@@ -172,6 +258,9 @@
 		cmocka_unit_test(test_drain),
 		cmocka_unit_test(test_list_removes_unlisted),
 		cmocka_unit_test(test_warmup),
+		cmocka_unit_test(test_clock_set_back),
+		cmocka_unit_test(test_entry_read_after_removal),
+		cmocka_unit_test(test_list_and_late_entries),
 		cmocka_unit_test(test_data_center_out),
 	};
 
