discovery: a removal that is relayed late doesn't undo what came after it

Where an upstream was behind its subscriber, a data centre that was back in service and is out again would get requests, until its record changes; an order that was written anew would be dropped with its evidence.

Cause: of the changes of a relayed response that a subscriber had read from the store already, records were passed over by their revision, removals weren't, as a removal may bear the revision of the change before it. The record that was written after the removal was passed over, so that the removal stood alone.

Evidence, before the change: unit_discovery known_return_is_not_repeated failed (the target's data centre was in service).

Change: a removal is passed over, too, where a later change of the same name in the response was applied before. A removal that nothing came after is still applied again, which changes nothing.

Measured: the tests of registry, discovery, peers and rollout pass.

--- a/src/discovery/records.c
+++ b/src/discovery/records.c
@@ -146,16 +146,38 @@
 	}
 }
 
+/* Whether a later change of the same name was applied before. */
+static bool has_later_known(const mc_source_result_t *result, uint32_t index,
+			    uint64_t known_until)
+{
+	const char *name = result->records[index].name;
+	const mc_source_record_t *later;
+	uint32_t i;
+
+	for (i = index + 1; i < result->record_count; i++) {
+		later = &result->records[i];
+		if (later->revision && later->revision <= known_until &&
+		    !strcmp(later->name, name))
+			return true;
+	}
+	return false;
+}
+
 /*
  * Whether a change was applied before. An upstream that was behind relays
  * changes that its subscribers have read from the store already; applied again,
- * they would bring back former states for a moment. Removals may bear the
- * revision of the last change, and can be applied twice.
+ * they would bring back former states. A removal may bear the revision of the
+ * change before it, so that its own does not tell; it is applied again where
+ * nothing came after it.
  */
-static bool is_known(const mc_source_record_t *record, uint64_t known_until)
+static bool is_known(const mc_source_result_t *result, uint32_t index,
+		     uint64_t known_until)
 {
-	return !record->removed && record->revision &&
-	       record->revision <= known_until;
+	const mc_source_record_t *record = &result->records[index];
+
+	if (record->removed)
+		return has_later_known(result, index, known_until);
+	return record->revision && record->revision <= known_until;
 }
 
 void discovery_apply_records(mc_discovery_t *discovery, mc_source_kind_t kind,
@@ -177,7 +199,7 @@
 
 		if (record->decode_error && !*record->name)
 			discovery_log_invalid(discovery, "unknown", record);
-		else if (!is_known(record, known_until))
+		else if (!is_known(result, i, known_until))
 			apply[kind](discovery, record, at);
 	}
 	if (kind == MC_SOURCE_INSTANCES && result->record_count) {
--- a/tests/unit/discovery_test.c
+++ b/tests/unit/discovery_test.c
@@ -976,6 +976,42 @@
 	assert_int_equal(wait_target_count(fixture, 0), 0);
 }
 
+/*
+ * An upstream that was behind relays that a data centre is back in service,
+ * with the later record that takes it out again. If only the latter is known to
+ * have been applied, the data centre is used.
+ */
+static void test_known_return_is_not_repeated(void **state)
+{
+	fixture_t *fixture = *state;
+	mc_source_record_t a = target_record("a");
+	mc_source_record_t out[2] = {
+		{ .name = "north", .removed = true, .revision = 44 },
+		{ .name = "north", .revision = 46 },
+	};
+	reply_t targets = {
+		.kind = MC_SOURCE_TARGETS,
+		.result = { .revision = 48, .record_count = 1, .records = &a },
+	};
+	reply_t reply = {
+		.kind = MC_SOURCE_DATA_CENTERS_OUT,
+		.result = { .revision = 48,
+			    .record_count = 1,
+			    .records = &out[1] },
+	};
+	mc_registry_view_target_t target = { 0 };
+
+	complete(fixture, &targets);
+	complete(fixture, &reply);
+	reply.result = (mc_source_result_t){ .revision = 50,
+					     .record_count = 2,
+					     .records = out };
+	complete(fixture, &reply);
+	usleep(50000);
+	assert_true(get_only_target(fixture, &target));
+	assert_true(target.data_center_out);
+}
+
 #define DISCOVERY_TEST(test) \
 	cmocka_unit_test_setup_teardown(test, set_up, tear_down)
 #define ORDERS_TEST(test) \
@@ -1000,6 +1036,7 @@
 		ORDERS_TEST(test_known_changes_are_not_repeated),
 		ORDERS_TEST(test_restart_with_clock_set_back),
 		ORDERS_TEST(test_known_removal_is_not_repeated),
+		ORDERS_TEST(test_known_return_is_not_repeated),
 		ORDERS_TEST(test_many_changes),
 	};
 
