rollout: an order that is read late doesn't replace the newer one

Where an order was replaced before its end, and the response to a write of its state was read after the new order, the new version would have no rule and get as many requests as any other, until its order changes.

Cause: orders were compared by revision with those of the same version only. One of another version was taken for the newer order of the service whatever its revision. After a removal nothing was left to compare with.

Evidence, before the change: unit_rollout replaced_order_is_read_late failed (no rule for v3); unit_discovery state_written_before_removal failed (one rule in place of none).

Looked at and found right: a state is written under the revision of its order, so that it never stands beside another order, whenever the write is executed; the response to such a write, a conflict, has the new order.

Change: an order that is older than the known one of its service is passed over, and a list that has it doesn't end the newer one. The response to a write of a state is passed over if changes up to its revision are known.

--- a/src/discovery/rollouts.c
+++ b/src/discovery/rollouts.c
@@ -98,14 +98,18 @@
 	discovery_schedule_publish(discovery);
 }
 
+/* The order is returned as it was when its state was written. A later change
+ * of it may have been read since. */
 static void on_state_written(void *ctx, const mc_source_result_t *result)
 {
 	mc_discovery_t *discovery = ctx;
+	uint64_t known = discovery->syncs[MC_SOURCE_ROLLOUTS].state.revision;
 
 	mc_log(mc_shard_log(discovery->params.shard), MC_LOG_NOTICE, "follow",
 	       "state of a roll-out written result=%s",
 	       mc_error_name(result->err));
-	if (!result->record_count || result->records->decode_error)
+	if (!result->record_count || result->records->decode_error ||
+	    result->records->revision <= known)
 		return;
 	put_order(discovery, result->records->name, &result->records->order);
 	rollouts_update(discovery);
--- a/src/rollout/include/mc/rollout.h
+++ b/src/rollout/include/mc/rollout.h
@@ -138,7 +138,8 @@
  * @now: time, ms; a new order's time counts from it
  *
  * A version that was rolled back stays barred when the service gets a new
- * order.
+ * order. An order that is older than the known one of the service was read late
+ * and is ignored.
  *
  * Return: MC_OK; MC_ERR_FULL with a last message.
  */
--- a/src/rollout/rollouts.c
+++ b/src/rollout/rollouts.c
@@ -138,6 +138,15 @@
 	snprintf(order->reason, sizeof(order->reason), "stored");
 }
 
+/* Whether an order was read late: from a response, or a list, that is older
+ * than what is known of its service or of its version. */
+static bool is_outdated(const mc_rollout_order_t *from, const order_t *current,
+			const order_t *order)
+{
+	return (current && from->revision < current->order.revision) ||
+	       (order && from->revision < order->order.revision);
+}
+
 mc_err_t mc_rollouts_put_order(mc_rollouts_t *rollouts,
 			       const mc_rollout_order_t *from, mc_ms_t now)
 {
@@ -146,9 +155,11 @@
 	mc_handle_t handle;
 	void *slot;
 
-	/* A response may be read late. */
-	if (order && from->revision < order->order.revision)
+	if (is_outdated(from, current, order)) {
+		if (current)
+			current->listed = true;
 		return MC_OK;
+	}
 	if (current && current != order)
 		retire_order(rollouts, current);
 	if (!order) {
--- a/tests/unit/discovery_test.c
+++ b/tests/unit/discovery_test.c
@@ -41,8 +41,17 @@
 	void *ctx;
 } call_t;
 
+/* A write of an order's state that has not ended. */
+typedef struct {
+	bool open;
+	mc_rollout_order_t order;
+	mc_source_done_fn_t done;
+	void *ctx;
+} state_write_t;
+
 struct mc_source_t {
 	call_t calls[MC_SOURCE_KIND_COUNT];
+	state_write_t state_write;
 	bool registered;
 	uint32_t canceled_watches;
 };
@@ -127,6 +136,19 @@
 	return MC_OK;
 }
 
+static mc_err_t fake_write_rollout_state(mc_source_t *source,
+					 const mc_rollout_order_t *order,
+					 mc_source_done_fn_t done, void *ctx)
+{
+	source->state_write = (state_write_t){
+		.open = true,
+		.order = *order,
+		.done = done,
+		.ctx = ctx,
+	};
+	return MC_OK;
+}
+
 static const mc_source_ops_t fake_ops = {
 	.create = fake_create,
 	.destroy = fake_destroy,
@@ -134,6 +156,7 @@
 	.watch = fake_watch,
 	.cancel_watch = fake_cancel_watch,
 	.register_instance = fake_register,
+	.write_rollout_state = fake_write_rollout_state,
 };
 
 static void publish(void *ctx, const mc_registry_view_t *view)
@@ -1012,6 +1035,110 @@
 	assert_true(target.data_center_out);
 }
 
+static mc_source_record_t order_record(const char *version, uint64_t revision)
+{
+	mc_source_record_t record = {
+		.name = "s",
+		.revision = revision,
+		.order = {
+			.service = "s",
+			.duration = 60000,
+			.revision = revision,
+		},
+	};
+
+	snprintf(record.order.version, sizeof(record.order.version), "%s",
+		 version);
+	return record;
+}
+
+static uint32_t get_rule_count(fixture_t *fixture)
+{
+	uint32_t count;
+
+	mc_shard_lock(fixture->shard);
+	count = fixture->view ? fixture->view->rule_count : 0;
+	mc_shard_unlock(fixture->shard);
+	return count;
+}
+
+static void wait_rule_count(fixture_t *fixture, uint32_t wanted)
+{
+	mc_ms_t end = mc_clock_now(mc_clock_system()) + WAIT_MS;
+
+	while (get_rule_count(fixture) != wanted &&
+	       mc_clock_now(mc_clock_system()) < end)
+		usleep(1000);
+	assert_int_equal(get_rule_count(fixture), wanted);
+}
+
+static state_write_t wait_state_write(fixture_t *fixture)
+{
+	mc_ms_t end = mc_clock_now(mc_clock_system()) + WAIT_MS;
+	state_write_t write;
+
+	do {
+		assert_true(mc_clock_now(mc_clock_system()) < end);
+		usleep(1000);
+		mc_shard_lock(fixture->shard);
+		write = fake_source.state_write;
+		mc_shard_unlock(fixture->shard);
+	} while (!write.open);
+	return write;
+}
+
+/* Ends the write with the order as the store had it then. */
+static void complete_state_write(mc_shard_t *shard, void *arg)
+{
+	reply_t *reply = arg;
+	state_write_t write = fake_source.state_write;
+
+	(void)shard;
+	fake_source.state_write.open = false;
+	write.done(write.ctx, &reply->result);
+	reply->handled = true;
+}
+
+/*
+ * The response to a write of an order's state is read after the order's
+ * removal: taken for news, it would bring the order back.
+ */
+static void test_state_written_before_removal(void **state)
+{
+	fixture_t *fixture = *state;
+	mc_source_record_t order = order_record("v2", 44);
+	mc_source_record_t removed = { .name = "s",
+				       .removed = true,
+				       .revision = 50 };
+	reply_t reply = {
+		.kind = MC_SOURCE_ROLLOUTS,
+		.result = { .revision = 45,
+			    .record_count = 1,
+			    .records = &order },
+	};
+	reply_t written = { .kind = MC_SOURCE_ROLLOUTS };
+
+	complete(fixture, &reply);
+	wait_rule_count(fixture, 1);
+	assert_int_equal(wait_state_write(fixture).order.state,
+			 MC_ROLLOUT_IN_PROGRESS);
+	reply.result = (mc_source_result_t){ .revision = 50,
+					     .record_count = 1,
+					     .records = &removed };
+	complete(fixture, &reply);
+	wait_rule_count(fixture, 0);
+	order.revision = order.order.revision = 48;
+	order.order.state = MC_ROLLOUT_IN_PROGRESS;
+	written.result =
+		(mc_source_result_t){ .record_count = 1, .records = &order };
+	assert_int_equal(
+		mc_shard_post(fixture->shard, complete_state_write, &written),
+		MC_OK);
+	wait_handled(fixture, &written);
+	usleep(50000);
+	assert_int_equal(get_rule_count(fixture), 0);
+}
+
 #define DISCOVERY_TEST(test) \
 	cmocka_unit_test_setup_teardown(test, set_up, tear_down)
 #define ORDERS_TEST(test) \
@@ -1037,6 +1164,7 @@
 		ORDERS_TEST(test_restart_with_clock_set_back),
 		ORDERS_TEST(test_known_removal_is_not_repeated),
 		ORDERS_TEST(test_known_return_is_not_repeated),
+		ORDERS_TEST(test_state_written_before_removal),
 		ORDERS_TEST(test_many_changes),
 	};
 
--- a/tests/unit/rollout_test.c
+++ b/tests/unit/rollout_test.c
@@ -228,6 +228,63 @@
 	mc_rollouts_destroy(rollouts);
 }
 
+static mc_rollout_order_t make_order(const char *version, uint64_t revision)
+{
+	mc_rollout_order_t order = first_order;
+
+	snprintf(order.version, sizeof(order.version), "%s", version);
+	order.revision = revision;
+	return order;
+}
+
+static void put_order(mc_rollouts_t *rollouts, const char *version,
+		      uint64_t revision, mc_ms_t now)
+{
+	const mc_rollout_order_t order = make_order(version, revision);
+
+	assert_int_equal(mc_rollouts_put_order(rollouts, &order, now), MC_OK);
+}
+
+/* Returns the mode of a version, or -1 without a rule. */
+static int mode_of_version(const mc_rollouts_t *rollouts, const char *version)
+{
+	mc_rollout_rule_t rules[8];
+	uint32_t count = mc_rollouts_get_rules(rollouts, rules, 8);
+	uint32_t i;
+
+	for (i = 0; i < count; i++)
+		if (!strcmp(rules[i].version, version))
+			return (int)rules[i].mode;
+	return -1;
+}
+
+/*
+ * An order is replaced, and then what the store said before is read: the
+ * response to a write of the former order's state, or a list. Taken for the
+ * newer one, it would leave the version that is ordered without a rule.
+ */
+static void test_replaced_order_is_read_late(void **state)
+{
+	mc_rollouts_t *rollouts = mc_rollouts_create("a", share);
+	mc_rollout_order_t to_write;
+
+	(void)state;
+	put_order(rollouts, "v2", 10, 0);
+	put_order(rollouts, "v3", 20, 100);
+	put_order(rollouts, "v2", 15, 200);
+	tick(rollouts, 200);
+	assert_int_equal(mode_of_version(rollouts, "v3"), MC_ROLLOUT_CANARY);
+	mc_rollouts_list_begin(rollouts);
+	put_order(rollouts, "v2", 15, 300);
+	mc_rollouts_list_end(rollouts);
+	tick(rollouts, 300);
+	assert_int_equal(mode_of_version(rollouts, "v3"), MC_ROLLOUT_CANARY);
+	assert_true(mc_rollouts_next_write(rollouts, 0, 300, &to_write));
+	assert_string_equal(to_write.version, "v3");
+	assert_int_equal(to_write.revision, 20);
+	mc_rollouts_destroy(rollouts);
+}
+
 /* An instance that starts in the middle learns the start of the order, the
  * evidence and a rejection from the others. */
 static void test_late_instance(void **state)
@@ -298,6 +355,7 @@
 		cmocka_unit_test(test_succeeds),
 		cmocka_unit_test(test_unproved_does_not_succeed),
 		cmocka_unit_test(test_next_order),
+		cmocka_unit_test(test_replaced_order_is_read_late),
 		cmocka_unit_test(test_late_instance),
 		cmocka_unit_test(test_bad_on_one_route),
 		cmocka_unit_test(test_order_before_targets),
