rollout: an order is judged by what was seen under it alone

Where a version is ordered, replaced by another and ordered again within seconds, a good one would be rolled back, or any one decided at once, by what was seen under the former order.

Cause: evidence was told apart by service and version. An instance that had not read the replacement yet went on to tell what it had seen under the former order, with its start and its verdict; the others took it for the new one. An order for the same version in place of one that has not ended, with another duration or read without the one in between, went on with the former one's time and evidence.

Evidence, before the change: unit_rollout evidence_of_replaced_order (the version was barred) and ordered_again_in_time (preferred 8 s into 6 s that had just begun) failed.

Ruled out: a revision of the order's content (the store has one revision for order and state); a field of ours in the state, which every reader would have to know.

Change: what an instance tells bears the order's revision as it knows it ("order"); rows that aren't later than the service's former order aren't used. An order without a state at another revision, or with another duration and no final state, is a new one. Rows without a revision, from instances of the former version, are used as before.

Not solved: an order for a version whose former order ended as the last state of the service, written again with another duration, can't be told from one that has ended, as the state stands for both.

Measured: the tests of rollout (unit, model of fleets, system) and platform pass.

--- a/src/rollout/evidence.c
+++ b/src/rollout/evidence.c
@@ -69,6 +69,7 @@
 		return;
 	row = find_own_row(rollouts, order->key, outcomes);
 	if (!row) {
+		empty.order_revision = 0;
 		empty.elapsed = 0;
 		empty.rejected = false;
 		empty.old = empty.new = (mc_rollout_counts_t){ 0 };
@@ -141,6 +142,7 @@
 		if (strcmp(row->origin, rollouts->self) || !order)
 			continue;
 		evidence[count] = row->evidence;
+		evidence[count].order_revision = order->order.revision;
 		evidence[count++].elapsed = now - order->started_at;
 	}
 	return count;
@@ -227,6 +229,14 @@
 				sums[i].old = sums[j].old;
 }
 
+/* Whether another instance has told what it saw of a former order for the same
+ * version, as it may not know the new one yet. */
+static bool is_of_former_order(const row_t *row, const order_t *order)
+{
+	return !row->is_own && row->evidence.order_revision &&
+	       row->evidence.order_revision <= order->former_revision;
+}
+
 uint32_t evidence_sum(const mc_rollouts_t *rollouts, order_t *order,
 		      evidence_sum_t *sums, uint32_t max,
 		      const char **rejected_by)
@@ -241,7 +251,7 @@
 		mc_ms_t started = row->received_at - evidence->elapsed;
 		evidence_sum_t *sum;
 
-		if (row->key != order->key)
+		if (row->key != order->key || is_of_former_order(row, order))
 			continue;
 		if (!row->is_own && started < order->started_at)
 			order->started_at = started;
--- a/src/rollout/include/mc/rollout.h
+++ b/src/rollout/include/mc/rollout.h
@@ -67,6 +67,8 @@
  * @version: version of the order
  * @route: route of the requests; versions are compared on each route
  * @preferred: counted while the version was preferred, under the whole load
+ * @order_revision: revision of the order as the instance knew it; 0 if unknown.
+ *	The version may have had another order before
  * @elapsed: time since the order was read, ms
  * @rejected: the instance has found the version to be worse; never reset
  * @old: outcomes of all other versions since the order was read
@@ -77,6 +79,7 @@
 	char version[MC_ROLLOUT_NAME_SIZE];
 	char route[MC_ROLLOUT_NAME_SIZE];
 	bool preferred;
+	uint64_t order_revision;
 	mc_ms_t elapsed;
 	bool rejected;
 	mc_rollout_counts_t old;
@@ -139,7 +142,10 @@
  *
  * A version that was rolled back stays barred when the service gets a new
  * order. An order that is older than the known one of the service was read late
- * and is ignored.
+ * and is ignored. An order for the same version that has not ended is a new one
+ * if its duration has changed, or if it has no state while its revision has
+ * changed: its time counts from @now, and evidence of the former one is not
+ * used.
  *
  * Return: MC_OK; MC_ERR_FULL with a last message.
  */
@@ -166,7 +172,8 @@
 /**
  * mc_rollouts_add_outcomes() - Add outcomes that this instance has seen
  * @rollouts: the set
- * @outcomes: outcomes since the last call; @elapsed and @rejected are ignored
+ * @outcomes: outcomes since the last call; @order_revision, @elapsed and
+ *	@rejected are ignored
  * @now: time, ms
  */
 void mc_rollouts_add_outcomes(mc_rollouts_t *rollouts,
--- a/src/rollout/rollout_private.h
+++ b/src/rollout/rollout_private.h
@@ -16,6 +16,8 @@
  * @order: the order as last read
  * @key: hash of service and version
  * @started_at: when the order was given, as far as is known, ms
+ * @former_revision: the service's former orders have at most this revision; 0
+ *	if unknown
  * @is_current: it is the service's order; otherwise only its version is barred
  * @listed: it was part of the list being read
  * @had_old: the service had targets of another version since the order was read
@@ -31,6 +33,7 @@
 	mc_rollout_order_t order;
 	uint64_t key;
 	mc_ms_t started_at;
+	uint64_t former_revision;
 	bool is_current;
 	bool listed;
 	bool had_old;
--- a/src/rollout/rollouts.c
+++ b/src/rollout/rollouts.c
@@ -83,9 +83,27 @@
 	free(rollouts);
 }
 
+/* Returns the highest revision that a former order of the service may have; 0
+ * if unknown. */
+static uint64_t former_revision(const mc_rollout_order_t *from,
+				const order_t *current, const order_t *order)
+{
+	uint64_t revision = 0;
+
+	/* Without a state, the order was not changed since it was written. */
+	if (from->state == MC_ROLLOUT_NEW && from->revision)
+		return from->revision - 1;
+	if (current)
+		revision = current->order.revision;
+	if (order && order->order.revision > revision)
+		revision = order->order.revision;
+	return revision;
+}
+
 /* Starts an order, whose version may have had one before. */
 static void begin_order(mc_rollouts_t *rollouts, order_t *order,
-			const mc_rollout_order_t *from, mc_ms_t now)
+			const mc_rollout_order_t *from, uint64_t former,
+			mc_ms_t now)
 {
 	const mc_handle_t handle = order->handle;
 
@@ -94,6 +112,7 @@
 		.order = *from,
 		.key = rollout_key(from->service, from->version),
 		.started_at = now,
+		.former_revision = former,
 		.is_current = true,
 		.has_mode = true,
 		.mode = MC_ROLLOUT_CANARY,
@@ -147,11 +166,26 @@
 	       (order && from->revision < order->order.revision);
 }
 
+/* Whether the version of a known order was ordered once more. */
+static bool is_new_order(const mc_rollout_order_t *from, const order_t *order)
+{
+	if (!order->is_current)
+		return true;
+	if (is_final(from->state))
+		return false;
+	if (order_has_ended(order) || from->duration != order->order.duration)
+		return true;
+	/* All changes but those of operators give the order a state. */
+	return from->state == MC_ROLLOUT_NEW &&
+	       from->revision != order->order.revision;
+}
+
 mc_err_t mc_rollouts_put_order(mc_rollouts_t *rollouts,
 			       const mc_rollout_order_t *from, mc_ms_t now)
 {
 	order_t *current = find_current(rollouts, from->service);
 	order_t *order = order_find(rollouts, from->service, from->version);
+	uint64_t former = former_revision(from, current, order);
 	mc_handle_t handle;
 	void *slot;
 
@@ -170,14 +204,12 @@
 		order = slot;
 		order->handle = handle;
 		order->key = rollout_key(from->service, from->version);
-		begin_order(rollouts, order, from, now);
+		begin_order(rollouts, order, from, former, now);
 		if (order_has_ended(order))
 			order->settled_until = now + SETTLE_MS;
-	} else if (!order->is_current ||
-		   (order_has_ended(order) && !is_final(from->state))) {
-		/* The version is ordered once more. */
+	} else if (is_new_order(from, order)) {
 		evidence_drop(rollouts, order->key);
-		begin_order(rollouts, order, from, now);
+		begin_order(rollouts, order, from, former, now);
 	} else {
 		set_stored_state(rollouts, order, from, now);
 	}
--- a/tests/unit/platform_test.c
+++ b/tests/unit/platform_test.c
@@ -307,6 +307,7 @@
 		.version = "v2",
 		.route = "r",
 		.preferred = true,
+		.order_revision = 41,
 		.elapsed = 1500,
 		.rejected = true,
 		.old = { .answered = 90, .failed = 1, .slow = 2 },
@@ -323,6 +324,12 @@
 	assert_int_equal(count, 1);
 	assert_memory_equal(rows, &row, sizeof(row));
 	free(rows);
+	/* An instance of a former version does not tell the revision. */
+	json_object_del(json_array_get(json, 0), "order");
+	rows = decode_evidence(json, &count);
+	assert_int_equal(count, 1);
+	assert_int_equal(rows[0].order_revision, 0);
+	free(rows);
 	json_decref(json);
 	assert_null(decode_evidence(NULL, &count));
 	assert_int_equal(count, 0);
--- a/tests/unit/rollout_test.c
+++ b/tests/unit/rollout_test.c
@@ -285,6 +285,79 @@
 	mc_rollouts_destroy(rollouts);
 }
 
+/*
+ * A version is ordered, replaced by another, and ordered again. What other
+ * instances, which may not know that yet, say of its former order must neither
+ * bar it nor count as the start of its time.
+ */
+static void test_evidence_of_replaced_order(void **state)
+{
+	mc_rollout_evidence_t told =
+		make_outcomes((mc_rollout_counts_t){ .answered = 900 },
+			      (mc_rollout_counts_t){ .answered = 50 });
+	mc_rollouts_t *rollouts = mc_rollouts_create("a", share);
+
+	(void)state;
+	told.order_revision = 10;
+	told.elapsed = 11500;
+	told.rejected = true;
+	put_order(rollouts, "v2", 10, 0);
+	put_order(rollouts, "v3", 20, 11000);
+	mc_rollouts_set_evidence(rollouts, "b", &told, 1, 11400);
+	put_order(rollouts, "v2", 30, 11450);
+	tick(rollouts, 11500);
+	assert_int_equal(mode_of_version(rollouts, "v2"), MC_ROLLOUT_CANARY);
+	mc_rollouts_set_evidence(rollouts, "c", &told, 1, 11550);
+	tick(rollouts, 11600);
+	assert_int_equal(mode_of_version(rollouts, "v2"), MC_ROLLOUT_CANARY);
+	assert_int_equal(state_to_write(rollouts, 11600),
+			 MC_ROLLOUT_IN_PROGRESS);
+	/* What is said of the order itself counts. */
+	told.order_revision = 31;
+	told.elapsed = 100;
+	mc_rollouts_set_evidence(rollouts, "c", &told, 1, 11700);
+	tick(rollouts, 11700);
+	assert_int_equal(mode_of_version(rollouts, "v2"), MC_ROLLOUT_BARRED);
+	mc_rollouts_destroy(rollouts);
+}
+
+/* An order for the same version with another duration, or one that is read
+ * without the order between both: its time counts from then. */
+static void test_ordered_again_in_time(void **state)
+{
+	mc_rollouts_t *rollouts = mc_rollouts_create("a", share);
+	mc_rollout_order_t order = make_order("v2", 11);
+
+	(void)state;
+	put_order(rollouts, "v2", 10, 0);
+	order.state = MC_ROLLOUT_IN_PROGRESS;
+	mc_rollouts_put_order(rollouts, &order, 10);
+	tick(rollouts, 8000);
+	order.revision = 20;
+	order.duration = 6000;
+	mc_rollouts_put_order(rollouts, &order, 8000);
+	tick(rollouts, 8000);
+	assert_int_equal(mode_of_version(rollouts, "v2"), MC_ROLLOUT_CANARY);
+	assert_int_equal(state_to_write(rollouts, 8000), MC_ROLLOUT_NEW);
+	/* The state of another version's order was written in between. */
+	order.revision = 30;
+	order.state = MC_ROLLOUT_NEW;
+	mc_rollouts_put_order(rollouts, &order, 13000);
+	tick(rollouts, 13800);
+	assert_int_equal(mode_of_version(rollouts, "v2"), MC_ROLLOUT_CANARY);
+	assert_int_equal(state_to_write(rollouts, 13800),
+			 MC_ROLLOUT_IN_PROGRESS);
+	/* An end that others have written is not undone. */
+	order.revision = 40;
+	order.duration = 5000;
+	order.state = MC_ROLLOUT_ROLLED_BACK;
+	mc_rollouts_put_order(rollouts, &order, 14000);
+	tick(rollouts, 14000);
+	assert_int_equal(mode_of_version(rollouts, "v2"), MC_ROLLOUT_BARRED);
+	assert_int_equal(state_to_write(rollouts, 20000), MC_ROLLOUT_NEW);
+	mc_rollouts_destroy(rollouts);
+}
+
 /* An instance that starts in the middle learns the start of the order, the
  * evidence and a rejection from the others. */
 static void test_late_instance(void **state)
@@ -356,6 +429,8 @@
 		cmocka_unit_test(test_unproved_does_not_succeed),
 		cmocka_unit_test(test_next_order),
 		cmocka_unit_test(test_replaced_order_is_read_late),
+		cmocka_unit_test(test_evidence_of_replaced_order),
+		cmocka_unit_test(test_ordered_again_in_time),
 		cmocka_unit_test(test_late_instance),
 		cmocka_unit_test(test_bad_on_one_route),
 		cmocka_unit_test(test_order_before_targets),
