--- a/src/discovery/records.c
+++ b/src/discovery/records.c
@@ -59,7 +59,7 @@
 		if (record->decode_error)
 			discovery_log_invalid(discovery, "target", record);
 		mc_registry_remove_target(discovery->registry, record->name,
-					  at);
+					  record->revision, at);
 		mc_log(mc_shard_log(discovery->params.shard), MC_LOG_INFO,
 		       "follow",
 		       "target leaving: entry removed or invalid target=%s",
@@ -73,16 +73,17 @@
 					   entry->version);
 	/* A target may have begun to drain when the upstream was lost, so that
 	 * its grace period counts from @at; a warm-up counts from now. */
-	if (mc_registry_put_target(discovery->registry, entry,
+	if (mc_registry_put_target(discovery->registry, entry, record->revision,
 				   entry->draining ? at : now))
 		mc_log(mc_shard_log(discovery->params.shard), MC_LOG_ERROR,
 		       "follow", "target ignored: %s", mc_last_error_message());
 	mc_log(mc_shard_log(discovery->params.shard), MC_LOG_INFO, "follow",
 	       "target entry read target=%s service=%s version=%s address=%s "
-	       "draining=%d cold_ms=%lld started=%lld",
+	       "draining=%d cold_ms=%lld started=%lld revision=%llu",
 	       entry->id, entry->service, entry->version, entry->address,
 	       entry->draining, (long long)entry->warmup_left,
-	       (long long)entry->started_at);
+	       (long long)entry->started_at,
+	       (unsigned long long)record->revision);
 }
 
 static void apply_data_center_out(mc_discovery_t *discovery,
@@ -145,16 +146,38 @@
 	}
 }
 
+/* Whether a later change of the same name was applied before. */
+static bool has_later_known(const mc_source_result_t *result, uint32_t index,
+			    uint64_t known_until)
+{
+	const char *name = result->records[index].name;
+	const mc_source_record_t *later;
+	uint32_t i;
+
+	for (i = index + 1; i < result->record_count; i++) {
+		later = &result->records[i];
+		if (later->revision && later->revision <= known_until &&
+		    !strcmp(later->name, name))
+			return true;
+	}
+	return false;
+}
+
 /*
  * Whether a change was applied before. An upstream that was behind relays
  * changes that its subscribers have read from the store already; applied again,
- * they would bring back former states for a moment. Removals may bear the
- * revision of the last change, and can be applied twice.
+ * they would bring back former states. A removal may bear the revision of the
+ * change before it, so that its own does not tell; it is applied again where
+ * nothing came after it.
  */
-static bool is_known(const mc_source_record_t *record, uint64_t known_until)
+static bool is_known(const mc_source_result_t *result, uint32_t index,
+		     uint64_t known_until)
 {
-	return !record->removed && record->revision &&
-	       record->revision <= known_until;
+	const mc_source_record_t *record = &result->records[index];
+
+	if (record->removed)
+		return has_later_known(result, index, known_until);
+	return record->revision && record->revision <= known_until;
 }
 
 void discovery_apply_records(mc_discovery_t *discovery, mc_source_kind_t kind,
@@ -176,7 +199,7 @@
 
 		if (record->decode_error && !*record->name)
 			discovery_log_invalid(discovery, "unknown", record);
-		else if (!is_known(record, known_until))
+		else if (!is_known(result, i, known_until))
 			apply[kind](discovery, record, at);
 	}
 	if (kind == MC_SOURCE_INSTANCES && result->record_count) {
@@ -206,10 +229,10 @@
 }
 
 void discovery_list_end(mc_discovery_t *discovery, mc_source_kind_t kind,
-			mc_ms_t at)
+			uint64_t revision, mc_ms_t at)
 {
 	if (kind == MC_SOURCE_TARGETS)
-		mc_registry_list_end(discovery->registry, at);
+		mc_registry_list_end(discovery->registry, revision, at);
 	if (kind == MC_SOURCE_ROLLOUTS) {
 		mc_rollouts_list_end(discovery->rollouts);
 		mc_registry_end_confirmation(discovery->registry);
--- a/tests/unit/discovery_test.c
+++ b/tests/unit/discovery_test.c
@@ -23,6 +23,10 @@
 	 */
 	LONG_APPLY_MAX_MS = 8000,
 	PEERS = 9,
+	/* Over-long responses in a row, and the least time that they take with
+	 * the pauses in between, ms. */
+	LONG_RESPONSES = 4,
+	LONG_RESPONSES_PAUSE_MS = 50 + 100 + 200 + 400,
 };
 
 /* The open call of one kind; the test completes it on the shard. */
@@ -37,8 +41,17 @@
 	void *ctx;
 } call_t;
 
+/* A write of an order's state that has not ended. */
+typedef struct {
+	bool open;
+	mc_rollout_order_t order;
+	mc_source_done_fn_t done;
+	void *ctx;
+} state_write_t;
+
 struct mc_source_t {
 	call_t calls[MC_SOURCE_KIND_COUNT];
+	state_write_t state_write;
 	bool registered;
 	uint32_t canceled_watches;
 };
@@ -123,6 +136,19 @@
 	return MC_OK;
 }
 
+static mc_err_t fake_write_rollout_state(mc_source_t *source,
+					 const mc_rollout_order_t *order,
+					 mc_source_done_fn_t done, void *ctx)
+{
+	source->state_write = (state_write_t){
+		.open = true,
+		.order = *order,
+		.done = done,
+		.ctx = ctx,
+	};
+	return MC_OK;
+}
+
 static const mc_source_ops_t fake_ops = {
 	.create = fake_create,
 	.destroy = fake_destroy,
@@ -130,6 +156,7 @@
 	.watch = fake_watch,
 	.cancel_watch = fake_cancel_watch,
 	.register_instance = fake_register,
+	.write_rollout_state = fake_write_rollout_state,
 };
 
 static void publish(void *ctx, const mc_registry_view_t *view)
@@ -409,6 +436,46 @@
 	assert_int_equal(wait_target_count(fixture, 1), 1);
 }
 
+/*
+ * The changes are more than a response may have: asked for again, they would be
+ * as many. The records are listed anew, and while that does not help, with
+ * growing pauses, as each such response costs much.
+ */
+static void test_long_watch_response(void **state)
+{
+	fixture_t *fixture = *state;
+	mc_source_record_t a = target_record("a"), b = target_record("b");
+	reply_t reply = {
+		.kind = MC_SOURCE_TARGETS,
+		.result = { .revision = 40, .record_count = 1, .records = &a },
+	};
+	mc_ms_t start;
+	int i;
+
+	complete(fixture, &reply);
+	start = mc_clock_now(mc_clock_system());
+	for (i = 0; i < LONG_RESPONSES; i++) {
+		assert_true(wait_call(fixture, MC_SOURCE_TARGETS).is_watch);
+		reply.result = (mc_source_result_t){ .err = MC_ERR_TOO_LARGE };
+		complete(fixture, &reply);
+		assert_false(wait_call(fixture, MC_SOURCE_TARGETS).is_watch);
+		assert_false(wait_call(fixture, MC_SOURCE_TARGETS).allow_stale);
+		reply.result = (mc_source_result_t){
+			.revision = 90,
+			.record_count = 1,
+			.records = &b,
+		};
+		complete(fixture, &reply);
+		assert_int_equal(wait_call(fixture, MC_SOURCE_TARGETS).since,
+				 90);
+	}
+	assert_true(mc_clock_now(mc_clock_system()) - start >=
+		    LONG_RESPONSES_PAUSE_MS);
+	/* The store has responded: other kinds need no new watch. */
+	assert_int_equal(fake_source.canceled_watches, 0);
+	assert_int_equal(wait_target_count(fixture, 1), 1);
+}
+
 /*
  * An older version never replaces the route map in force, and neither does the
  * loss of the store.
@@ -833,6 +900,245 @@
 	assert_true(is_leaving(fixture));
 }
 
+/* Copies the view's only target; false without one, or before a view. */
+static bool get_only_target(fixture_t *fixture, mc_registry_view_target_t *out)
+{
+	bool found;
+
+	mc_shard_lock(fixture->shard);
+	found = fixture->view && fixture->view->target_count == 1;
+	if (found)
+		*out = fixture->view->targets[0];
+	mc_shard_unlock(fixture->shard);
+	return found;
+}
+
+/*
+ * A target starts again under its id after its clock was set back. Taken for a
+ * late entry of its former incarnation, it would be asked at its former
+ * address, get no time to warm up, and be asked on when it drains.
+ */
+static void test_restart_with_clock_set_back(void **state)
+{
+	fixture_t *fixture = *state;
+	mc_source_record_t former = target_record("a"),
+			   next = target_record("a");
+	reply_t reply = {
+		.kind = MC_SOURCE_TARGETS,
+		.result = { .revision = 40,
+			    .record_count = 1,
+			    .records = &former },
+	};
+	mc_registry_view_target_t target = { 0 };
+	mc_ms_t end = mc_clock_now(mc_clock_system()) + WAIT_MS;
+
+	former.revision = 35;
+	former.target.started_at = 9000;
+	next.revision = 44;
+	next.target.started_at = 5000;
+	next.target.warmup_left = 60000;
+	snprintf(next.target.address, sizeof(next.target.address),
+		 "10.0.0.2:80");
+	complete(fixture, &reply);
+	reply.result = (mc_source_result_t){ .revision = 45,
+					     .record_count = 1,
+					     .records = &next };
+	complete(fixture, &reply);
+	do
+		usleep(1000);
+	while ((!get_only_target(fixture, &target) ||
+		target.entry.started_at != 5000) &&
+	       mc_clock_now(mc_clock_system()) < end);
+	assert_int_equal(target.entry.started_at, 5000);
+	assert_string_equal(target.entry.address, "10.0.0.2:80");
+	assert_true(target.warmup_until > 0);
+	next.revision = 46;
+	next.target.draining = true;
+	reply.result.revision = 47;
+	complete(fixture, &reply);
+	while (!is_leaving(fixture) && mc_clock_now(mc_clock_system()) < end)
+		usleep(1000);
+	assert_true(is_leaving(fixture));
+}
+
+/*
+ * An upstream that was behind relays the removal of an entry that was written
+ * again since, with what came after it. Applied again alone, as the later
+ * change is known, it would take the target out of use for good.
+ */
+static void test_known_removal_is_not_repeated(void **state)
+{
+	fixture_t *fixture = *state;
+	mc_source_record_t known = target_record("a");
+	mc_source_record_t repeated[2] = {
+		{ .name = "a", .removed = true, .revision = 44 },
+	};
+	reply_t reply = {
+		.kind = MC_SOURCE_TARGETS,
+		.result = { .revision = 48,
+			    .record_count = 1,
+			    .records = &known },
+	};
+
+	known.revision = 46;
+	repeated[1] = known;
+	complete(fixture, &reply);
+	assert_int_equal(wait_target_count(fixture, 1), 1);
+	reply.result = (mc_source_result_t){ .revision = 50,
+					     .record_count = 2,
+					     .records = repeated };
+	complete(fixture, &reply);
+	usleep(50000);
+	assert_false(is_leaving(fixture));
+	/* A removal that is new, but bears the revision of the last change. */
+	repeated[0].revision = 46;
+	reply.result = (mc_source_result_t){ .revision = 52,
+					     .record_count = 1,
+					     .records = repeated };
+	complete(fixture, &reply);
+	assert_int_equal(wait_target_count(fixture, 0), 0);
+}
+
+/*
+ * An upstream that was behind relays that a data centre is back in service,
+ * with the later record that takes it out again. If only the latter is known to
+ * have been applied, the data centre is used.
+ */
+static void test_known_return_is_not_repeated(void **state)
+{
+	fixture_t *fixture = *state;
+	mc_source_record_t a = target_record("a");
+	mc_source_record_t out[2] = {
+		{ .name = "north", .removed = true, .revision = 44 },
+		{ .name = "north", .revision = 46 },
+	};
+	reply_t targets = {
+		.kind = MC_SOURCE_TARGETS,
+		.result = { .revision = 48, .record_count = 1, .records = &a },
+	};
+	reply_t reply = {
+		.kind = MC_SOURCE_DATA_CENTERS_OUT,
+		.result = { .revision = 48,
+			    .record_count = 1,
+			    .records = &out[1] },
+	};
+	mc_registry_view_target_t target = { 0 };
+
+	complete(fixture, &targets);
+	complete(fixture, &reply);
+	reply.result = (mc_source_result_t){ .revision = 50,
+					     .record_count = 2,
+					     .records = out };
+	complete(fixture, &reply);
+	usleep(50000);
+	assert_true(get_only_target(fixture, &target));
+	assert_true(target.data_center_out);
+}
+
+static mc_source_record_t order_record(const char *version, uint64_t revision)
+{
+	mc_source_record_t record = {
+		.name = "s",
+		.revision = revision,
+		.order = {
+			.service = "s",
+			.duration = 60000,
+			.revision = revision,
+		},
+	};
+
+	snprintf(record.order.version, sizeof(record.order.version), "%s",
+		 version);
+	return record;
+}
+
+static uint32_t get_rule_count(fixture_t *fixture)
+{
+	uint32_t count;
+
+	mc_shard_lock(fixture->shard);
+	count = fixture->view ? fixture->view->rule_count : 0;
+	mc_shard_unlock(fixture->shard);
+	return count;
+}
+
+static void wait_rule_count(fixture_t *fixture, uint32_t wanted)
+{
+	mc_ms_t end = mc_clock_now(mc_clock_system()) + WAIT_MS;
+
+	while (get_rule_count(fixture) != wanted &&
+	       mc_clock_now(mc_clock_system()) < end)
+		usleep(1000);
+	assert_int_equal(get_rule_count(fixture), wanted);
+}
+
+static state_write_t wait_state_write(fixture_t *fixture)
+{
+	mc_ms_t end = mc_clock_now(mc_clock_system()) + WAIT_MS;
+	state_write_t write;
+
+	do {
+		assert_true(mc_clock_now(mc_clock_system()) < end);
+		usleep(1000);
+		mc_shard_lock(fixture->shard);
+		write = fake_source.state_write;
+		mc_shard_unlock(fixture->shard);
+	} while (!write.open);
+	return write;
+}
+
+/* Ends the write with the order as the store had it then. */
+static void complete_state_write(mc_shard_t *shard, void *arg)
+{
+	reply_t *reply = arg;
+	state_write_t write = fake_source.state_write;
+
+	(void)shard;
+	fake_source.state_write.open = false;
+	write.done(write.ctx, &reply->result);
+	reply->handled = true;
+}
+
+/*
+ * The response to a write of an order's state is read after the order's
+ * removal: taken for news, it would bring the order back.
+ */
+static void test_state_written_before_removal(void **state)
+{
+	fixture_t *fixture = *state;
+	mc_source_record_t order = order_record("v2", 44);
+	mc_source_record_t removed = { .name = "s",
+				       .removed = true,
+				       .revision = 50 };
+	reply_t reply = {
+		.kind = MC_SOURCE_ROLLOUTS,
+		.result = { .revision = 45,
+			    .record_count = 1,
+			    .records = &order },
+	};
+	reply_t written = { .kind = MC_SOURCE_ROLLOUTS };
+
+	complete(fixture, &reply);
+	wait_rule_count(fixture, 1);
+	assert_int_equal(wait_state_write(fixture).order.state,
+			 MC_ROLLOUT_IN_PROGRESS);
+	reply.result = (mc_source_result_t){ .revision = 50,
+					     .record_count = 1,
+					     .records = &removed };
+	complete(fixture, &reply);
+	wait_rule_count(fixture, 0);
+	order.revision = order.order.revision = 48;
+	order.order.state = MC_ROLLOUT_IN_PROGRESS;
+	written.result =
+		(mc_source_result_t){ .record_count = 1, .records = &order };
+	assert_int_equal(
+		mc_shard_post(fixture->shard, complete_state_write, &written),
+		MC_OK);
+	wait_handled(fixture, &written);
+	usleep(50000);
+	assert_int_equal(get_rule_count(fixture), 0);
+}
+
 #define DISCOVERY_TEST(test) \
 	cmocka_unit_test_setup_teardown(test, set_up, tear_down)
 #define ORDERS_TEST(test) \
@@ -843,6 +1149,7 @@
 	const struct CMUnitTest tests[] = {
 		ORDERS_TEST(test_list_and_watch),
 		ORDERS_TEST(test_history_gone),
+		ORDERS_TEST(test_long_watch_response),
 		ORDERS_TEST(test_older_routemap_ignored),
 		DISCOVERY_TEST(test_watches_restarted),
 		DISCOVERY_TEST(test_unavailable_store_polled_by_one_kind),
@@ -854,6 +1161,10 @@
 			test_drain_while_upstream_is_expected,
 			set_up_with_relay, tear_down),
 		ORDERS_TEST(test_known_changes_are_not_repeated),
+		ORDERS_TEST(test_restart_with_clock_set_back),
+		ORDERS_TEST(test_known_removal_is_not_repeated),
+		ORDERS_TEST(test_known_return_is_not_repeated),
+		ORDERS_TEST(test_state_written_before_removal),
 		ORDERS_TEST(test_many_changes),
 	};
 
