h1: refuse messages whose framing can be read in two ways

What callers saw: a space before the colon of Transfer-Encoding, chunk data without its line end ("2\r\nhiXX0") and a second Host were taken, and a request behind them was served. A proxy in front that reads the same bytes in another way lets a caller hide a request behind another one.

Cause: the packaged http_parser is built without its strict checks. It takes spaces in names, LF for CRLF, folded lines, anything after a chunk and in its extension, codings other than chunked before chunked, codings in HTTP/1.0, any version, and knows no rule for Host.

Evidence: unit_h1_framing has 88 requests and 18 responses that RFC 9112 rules out or leaves in doubt, each fed whole and in pieces of every size.

Change: framing.c, pure, follows the message beside the parser. It checks each byte between the parts that the parser hands out, and at the end of the head what the lines say about length, coding and host. Both must read the same length and coding. Requests get 400 and a closed connection, responses are a broken connection. Spaces and tabs after a value are no longer part of it. A message with a coding besides chunked is refused, as nothing here can decode it. One empty line before a request is still taken.

Ruled out: a check of whole heads before the parser (reads each byte twice); another packaged parser (llhttp is not packaged for C here).

Part of the cost was taken back by appending to buffers without a call while there is room.

--- a/src/h1/buffer.c
+++ b/src/h1/buffer.c
@@ -5,7 +5,6 @@
 #include "h1_private.h"
 
 #include <stdlib.h>
-#include <string.h>
 
 enum {
 	CAPACITY_MIN = 512,
@@ -24,23 +23,19 @@
 	return capacity - buffer->capacity;
 }
 
-mc_err_t h1_buffer_append(h1_buffer_t *buffer, const char *data, size_t size)
+mc_err_t h1_buffer_reserve(h1_buffer_t *buffer, size_t size)
 {
-	size_t growth = h1_buffer_growth(buffer, size);
+	size_t capacity = buffer->capacity + h1_buffer_growth(buffer, size);
 	char *grown;
 
-	if (growth) {
-		grown = realloc(buffer->data, buffer->capacity + growth);
-		if (!grown)
-			return mc_fail(MC_ERR_NO_MEMORY,
-				       "no memory for %zu bytes",
-				       buffer->capacity + growth);
-		buffer->data = grown;
-		buffer->capacity += growth;
-	}
-	if (size)
-		memcpy(buffer->data + buffer->size, data, size);
-	buffer->size += size;
+	if (capacity == buffer->capacity)
+		return MC_OK;
+	grown = realloc(buffer->data, capacity);
+	if (!grown)
+		return mc_fail(MC_ERR_NO_MEMORY, "no memory for %zu bytes",
+			       capacity);
+	buffer->data = grown;
+	buffer->capacity = capacity;
 	return MC_OK;
 }
 
--- a/src/h1/h1_private.h
+++ b/src/h1/h1_private.h
@@ -5,8 +5,11 @@
 #ifndef MC_H1_PRIVATE_H
 #define MC_H1_PRIVATE_H
 
+#include <string.h>
+
 #include <http_parser.h>
 
+#include "framing.h"
 #include "mc/h1.h"
 
 enum {
@@ -28,8 +31,23 @@
  * appended */
 size_t h1_buffer_growth(const h1_buffer_t *buffer, size_t size);
 
+/** h1_buffer_reserve() - Get memory for @size more bytes: MC_OK or
+ * MC_ERR_NO_MEMORY */
+mc_err_t h1_buffer_reserve(h1_buffer_t *buffer, size_t size);
+
 /** h1_buffer_append() - Append bytes: MC_OK or MC_ERR_NO_MEMORY */
-mc_err_t h1_buffer_append(h1_buffer_t *buffer, const char *data, size_t size);
+static inline mc_err_t h1_buffer_append(h1_buffer_t *buffer, const char *data,
+					size_t size)
+{
+	if (!size)
+		return MC_OK;
+	if (size > buffer->capacity - buffer->size &&
+	    h1_buffer_reserve(buffer, size))
+		return MC_ERR_NO_MEMORY;
+	memcpy(buffer->data + buffer->size, data, size);
+	buffer->size += size;
+	return MC_OK;
+}
 
 /** h1_buffer_clear() - Drop the content, and free the memory if it is large */
 void h1_buffer_clear(h1_buffer_t *buffer);
@@ -55,6 +73,7 @@
  */
 typedef struct {
 	http_parser http;
+	h1_framing_t framing;
 	size_t head_max;
 	size_t body_max;
 	size_t head_size;
--- a/src/h1/parse.c
+++ b/src/h1/parse.c
@@ -1,6 +1,7 @@
 /*
  * Collects one message from the callbacks of the http_parser library, within
- * the limits for its head and body.
+ * the limits for its head and body. Each callback has its part of the message
+ * checked by framing.c, which is stricter than the library.
  */
 #include "h1_private.h"
 
@@ -27,6 +28,14 @@
 	return CALLBACK_ABORT;
 }
 
+static int check_part(h1_parser_t *parser, h1_framing_part_t part,
+		      const char *data, size_t size)
+{
+	return h1_framing_part(&parser->framing, part, data, size)
+		       ? CALLBACK_CONTINUE
+		       : fail_message(parser, STATUS_BAD_REQUEST);
+}
+
 static int append_text(h1_parser_t *parser, const char *data, size_t size)
 {
 	parser->head_size += size;
@@ -56,9 +65,36 @@
 
 static int on_uri(http_parser *http, const char *data, size_t size)
 {
+	if (check_part(http->data, FRAMING_PART_TARGET, data, size))
+		return CALLBACK_ABORT;
 	return append_text(http->data, data, size);
 }
 
+static int on_reason(http_parser *http, const char *data, size_t size)
+{
+	return check_part(http->data, FRAMING_PART_REASON, data, size);
+}
+
+/* Ends the value of the last header line without the spaces and tabs after it,
+ * which are no part of it. */
+static int terminate_value(h1_parser_t *parser)
+{
+	uint32_t value = parser->offsets[parser->header_count - 1].value;
+	h1_buffer_t *text = &parser->text;
+
+	while (text->size > value && (text->data[text->size - 1] == ' ' ||
+				      text->data[text->size - 1] == '\t'))
+		text->size--;
+	return terminate_text(parser);
+}
+
+/* Ends the URI or the value before a name or the end of the head. */
+static int terminate_line(h1_parser_t *parser)
+{
+	return parser->header_count ? terminate_value(parser)
+				    : terminate_text(parser);
+}
+
 /*
  * http_parser may pass a text in pieces and has no callback for its end. The
  * URI and each value end where the next name or the body begins.
@@ -68,10 +104,12 @@
 	h1_parser_t *parser = http->data;
 	h1_header_offsets_t *offsets;
 
+	if (check_part(parser, FRAMING_PART_NAME, data, size))
+		return CALLBACK_ABORT;
 	if (parser->head_complete)
 		return skip_trailer(parser, size);
 	if (parser->in_value || !parser->header_count) {
-		if (terminate_text(parser))
+		if (terminate_line(parser))
 			return CALLBACK_ABORT;
 		if (parser->header_count == MC_H1_HEADERS_MAX)
 			return fail_message(parser, STATUS_HEAD_TOO_LARGE);
@@ -87,6 +125,8 @@
 {
 	h1_parser_t *parser = http->data;
 
+	if (check_part(parser, FRAMING_PART_VALUE, data, size))
+		return CALLBACK_ABORT;
 	if (parser->head_complete)
 		return skip_trailer(parser, size);
 	if (!parser->in_value) {
@@ -99,12 +139,36 @@
 	return append_text(parser, data, size);
 }
 
+/* Checks the header lines, and that the library reads them in the same way. */
+static bool is_head_valid(h1_parser_t *parser)
+{
+	const h1_framing_fields_t *fields = &parser->framing.fields;
+	const http_parser *http = &parser->http;
+	const char *text = parser->text.data;
+	uint32_t i;
+
+	for (i = 0; i < parser->header_count; i++) {
+		const h1_header_offsets_t *offsets = &parser->offsets[i];
+
+		h1_framing_field(&parser->framing, text + offsets->name,
+				 offsets->value - offsets->name - 1,
+				 text + offsets->value);
+	}
+	return h1_framing_head(&parser->framing, http->type == HTTP_REQUEST,
+			       http->http_minor) &&
+	       !(http->flags & F_CHUNKED) == !fields->codings &&
+	       http->content_length ==
+		       (fields->lengths ? fields->length : UINT64_MAX);
+}
+
 static int on_headers_complete(http_parser *http)
 {
 	h1_parser_t *parser = http->data;
 
-	if (terminate_text(parser))
+	if (terminate_line(parser))
 		return CALLBACK_ABORT;
+	if (!is_head_valid(parser))
+		return fail_message(parser, STATUS_BAD_REQUEST);
 	parser->head_complete = true;
 	if (http->type == HTTP_REQUEST && http->method == HTTP_CONNECT)
 		return fail_message(parser, STATUS_NOT_IMPLEMENTED);
@@ -143,6 +207,8 @@
 {
 	h1_parser_t *parser = http->data;
 
+	if (check_part(parser, FRAMING_PART_BODY, data, size))
+		return CALLBACK_ABORT;
 	if (size > parser->body_max - parser->body.size ||
 	    !take_budget(parser, size) ||
 	    h1_buffer_append(&parser->body, data, size))
@@ -161,6 +227,7 @@
 
 static const http_parser_settings callbacks = {
 	.on_url = on_uri,
+	.on_status = on_reason,
 	.on_header_field = on_header_field,
 	.on_header_value = on_header_value,
 	.on_headers_complete = on_headers_complete,
@@ -173,6 +240,7 @@
 {
 	http_parser_init(&parser->http, request ? HTTP_REQUEST : HTTP_RESPONSE);
 	parser->http.data = parser;
+	h1_framing_reset(&parser->framing, request);
 	parser->head_max = head_max;
 	parser->body_max = body_max;
 	parser->head_size = 0;
@@ -190,15 +258,24 @@
 
 size_t h1_parser_feed(h1_parser_t *parser, const char *data, size_t size)
 {
+	h1_framing_t *framing = &parser->framing;
 	size_t used;
 
 	if (!size || parser->complete || parser->error_status)
 		return 0;
 	parser->started = true;
+	framing->next = data;
 	used = http_parser_execute(&parser->http, &callbacks, data, size);
-	if (!parser->complete && HTTP_PARSER_ERRNO(&parser->http) != HPE_OK &&
-	    !parser->error_status)
+	if (used > size)
+		used = size;
+	if (parser->error_status)
+		return used;
+	if ((!parser->complete && HTTP_PARSER_ERRNO(&parser->http) != HPE_OK) ||
+	    !h1_framing_between(framing, data + used) ||
+	    (parser->complete && !h1_framing_is_end(framing))) {
+		parser->complete = false;
 		parser->error_status = STATUS_BAD_REQUEST;
+	}
 	return used;
 }
 
@@ -207,6 +284,7 @@
 	if (parser->complete || parser->error_status || !parser->started)
 		return;
 	http_parser_execute(&parser->http, &callbacks, NULL, 0);
+	parser->complete &= h1_framing_is_end(&parser->framing);
 	if (!parser->complete && !parser->error_status)
 		parser->error_status = STATUS_BAD_REQUEST;
 }
