h1: take chunked responses to HEAD

What callers saw: since the framing is checked, a response to HEAD that names the coding of the body that it leaves out was a broken connection.

Cause: after the head the check expected the first chunk. The parser ended the message there, as it had to, and the check found it unfinished.

Evidence: the fuzz program of exchanges ("what the reference takes is taken"); unit_h1_framing: responses_to_head, which failed before the change.

Change: the check is told that the message ends after its head.

--- a/src/h1/framing.c
+++ b/src/h1/framing.c
@@ -324,11 +324,12 @@
 	}
 }
 
-bool h1_framing_head(h1_framing_t *framing, bool request, unsigned int minor)
+bool h1_framing_head(h1_framing_t *framing, bool request, unsigned int minor,
+		     bool without_body)
 {
 	const h1_framing_fields_t *fields = &framing->fields;
 
-	framing->chunked = fields->codings > 0;
+	framing->chunked = fields->codings && !without_body;
 	if (fields->invalid || fields->lengths + fields->codings > 1)
 		return false;
 	/* HTTP/1.0 has no transfer codings and needs no host. */
--- a/src/h1/framing.h
+++ b/src/h1/framing.h
@@ -102,11 +102,13 @@
 /**
  * h1_framing_head() - Check the header lines that were noted
  * @minor: minor version of HTTP/1
+ * @without_body: the message ends after its head, whatever length it names
  *
  * Called when the head is complete, before the empty line is checked. Return:
  * false if they leave the body's end or the host open.
  */
-bool h1_framing_head(h1_framing_t *framing, bool request, unsigned int minor);
+bool h1_framing_head(h1_framing_t *framing, bool request, unsigned int minor,
+		     bool without_body);
 
 /** h1_framing_is_end() - Tell whether a message may end here */
 bool h1_framing_is_end(const h1_framing_t *framing);
--- a/src/h1/parse.c
+++ b/src/h1/parse.c
@@ -155,7 +155,7 @@
 				 text + offsets->value);
 	}
 	return h1_framing_head(&parser->framing, http->type == HTTP_REQUEST,
-			       http->http_minor) &&
+			       http->http_minor, parser->no_body) &&
 	       !(http->flags & F_CHUNKED) == !fields->codings &&
 	       http->content_length ==
 		       (fields->lengths ? fields->length : UINT64_MAX);
--- a/tests/unit/h1_framing_test.c
+++ b/tests/unit/h1_framing_test.c
@@ -299,6 +299,32 @@
 	}
 }
 
+/*
+ * A response to HEAD ends after its head, and may name the coding that its body
+ * would have had.
+ */
+static void test_responses_to_head(void **state)
+{
+	static const char *const texts[] = {
+		OK CHUNKED "\r\n",
+		OK "Content-Length: 2\r\n\r\n",
+		OK "\r\n",
+	};
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < MC_ARRAY_LEN(texts); i++) {
+		h1_parser_t parser = { 0 };
+
+		h1_parser_reset(&parser, false, HEAD_MAX, BODY_MAX);
+		parser.no_body = true;
+		assert_int_equal(feed(&parser, texts[i], strlen(texts[i])),
+				 strlen(texts[i]));
+		assert_true(parser.complete);
+		h1_parser_free(&parser);
+	}
+}
+
 /* Counts the requests that were handed out. */
 static void count_request(void *ctx, mc_handle_t connection,
 			  const mc_h1_message_t *message, mc_ms_t first_byte)
@@ -397,6 +423,7 @@
 		cmocka_unit_test(test_accepted_responses),
 		cmocka_unit_test(test_zero_bytes),
 		cmocka_unit_test(test_space_around_values),
+		cmocka_unit_test(test_responses_to_head),
 		cmocka_unit_test(test_nothing_behind_is_served),
 	};
 
