h1: a 304, 204 or 1xx has no body whatever length it names

What callers saw: a target's "304 Not Modified" that names the length of the body it stands for, as RFC 9110 (15.4.5) allows, waited for that many bytes: the request failed at its deadline, or, when another response followed on the connection, that one's first bytes were passed on as the 304's body.

Cause: http_parser knows these statuses only where the head names no length. With a length or a coding it reads a body.

Evidence: the fuzz program of exchanges ("a message ends where it was sent to end": a 304 with Content-Length: 16); unit_h1_framing: statuses_without_body, which failed before the change with 65 bytes read of a head of 49.

Change: the callback for the end of the head tells the parser to skip the body of these statuses, as of a response to HEAD.

--- a/src/h1/parse.c
+++ b/src/h1/parse.c
@@ -140,7 +140,7 @@
 }
 
 /* Checks the header lines, and that the library reads them in the same way. */
-static bool is_head_valid(h1_parser_t *parser)
+static bool is_head_valid(h1_parser_t *parser, bool without_body)
 {
 	const h1_framing_fields_t *fields = &parser->framing.fields;
 	const http_parser *http = &parser->http;
@@ -155,19 +155,34 @@
 				 text + offsets->value);
 	}
 	return h1_framing_head(&parser->framing, http->type == HTTP_REQUEST,
-			       http->http_minor, parser->no_body) &&
+			       http->http_minor, without_body) &&
 	       !(http->flags & F_CHUNKED) == !fields->codings &&
 	       http->content_length ==
 		       (fields->lengths ? fields->length : UINT64_MAX);
 }
 
+/* Responses that end after their head, whatever length it names (RFC 9112,
+ * 6.3). The library knows it only where the head names none. */
+static bool is_without_body(const h1_parser_t *parser)
+{
+	const http_parser *http = &parser->http;
+
+	if (parser->no_body)
+		return true;
+	return http->type == HTTP_RESPONSE &&
+	       (http->status_code < HTTP_STATUS_OK ||
+		http->status_code == HTTP_STATUS_NO_CONTENT ||
+		http->status_code == HTTP_STATUS_NOT_MODIFIED);
+}
+
 static int on_headers_complete(http_parser *http)
 {
 	h1_parser_t *parser = http->data;
+	bool without_body = is_without_body(parser);
 
 	if (terminate_line(parser))
 		return CALLBACK_ABORT;
-	if (!is_head_valid(parser))
+	if (!is_head_valid(parser, without_body))
 		return fail_message(parser, STATUS_BAD_REQUEST);
 	parser->head_complete = true;
 	if (http->type == HTTP_REQUEST && http->method == HTTP_CONNECT)
@@ -175,9 +190,9 @@
 	/* Upgrade requests are ignored, as no other protocol is supported. */
 	http->upgrade = 0;
 	if (http->content_length != UINT64_MAX &&
-	    http->content_length > parser->body_max && !parser->no_body)
+	    http->content_length > parser->body_max && !without_body)
 		return fail_message(parser, STATUS_BODY_TOO_LARGE);
-	return parser->no_body ? CALLBACK_SKIP_BODY : CALLBACK_CONTINUE;
+	return without_body ? CALLBACK_SKIP_BODY : CALLBACK_CONTINUE;
 }
 
 /* Takes what the body needs to grow by @size bytes from the budget. Returns
--- a/tests/unit/h1_framing_test.c
+++ b/tests/unit/h1_framing_test.c
@@ -7,6 +7,7 @@
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <arpa/inet.h>
@@ -325,6 +326,39 @@
 	}
 }
 
+/*
+ * Responses with these statuses end after their head, whatever length it names
+ * (RFC 9112, 6.3). Otherwise the next response of the connection is taken for
+ * their body.
+ */
+static void test_statuses_without_body(void **state)
+{
+	static const char *const heads[] = {
+		"HTTP/1.1 304 Not Modified\r\nContent-Length: 16\r\n\r\n",
+		"HTTP/1.1 304 Not Modified\r\n" CHUNKED "\r\n",
+		"HTTP/1.1 204 No Content\r\nContent-Length: 16\r\n\r\n",
+		"HTTP/1.1 103 Early Hints\r\nContent-Length: 16\r\n\r\n",
+		"HTTP/1.1 204 No Content\r\n\r\n",
+	};
+	static const char next[] = OK "Content-Length: 2\r\n\r\nhi";
+	char text[TEXT_SIZE];
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < MC_ARRAY_LEN(heads); i++) {
+		h1_parser_t parser = { 0 };
+
+		snprintf(text, sizeof(text), "%s%s", heads[i], next);
+		h1_parser_reset(&parser, false, HEAD_MAX, BODY_MAX);
+		assert_int_equal(feed(&parser, text, strlen(text)),
+				 strlen(heads[i]));
+		assert_true(parser.complete);
+		assert_int_equal(h1_parser_message(&parser).body_size, 0);
+		assert_true(h1_parser_message(&parser).keep_alive);
+		h1_parser_free(&parser);
+	}
+}
+
 /* Counts the requests that were handed out. */
 static void count_request(void *ctx, mc_handle_t connection,
 			  const mc_h1_message_t *message, mc_ms_t first_byte)
@@ -424,6 +458,7 @@
 		cmocka_unit_test(test_zero_bytes),
 		cmocka_unit_test(test_space_around_values),
 		cmocka_unit_test(test_responses_to_head),
+		cmocka_unit_test(test_statuses_without_body),
 		cmocka_unit_test(test_nothing_behind_is_served),
 	};
 
