h1: read the options of Connection as the list that they are

What callers saw: nothing yet. "Connection: , close", and in HTTP/1.0 "close" beside "keep-alive", were not taken for a close. The other side closes such a connection; it was kept, and the next request on it would have met that.

Cause: http_parser looks for "keep-alive" first in HTTP/1.0, and loses the option behind an empty element of the list. It also looks at trailers and at Proxy-Connection.

Evidence: the fuzz program of exchanges ("a connection is kept if both sides may use it again"); unit_h1_framing: close_wins, which failed before the change.

Change: framing.c notes the options with the other lines of the head, and whether the body has an end of its own.

--- a/src/h1/framing.c
+++ b/src/h1/framing.c
@@ -292,11 +292,36 @@
 	return !memcmp(name, wanted, size) || !strcasecmp(name, wanted);
 }
 
+static bool is_option(const char *text, size_t size, const char *option)
+{
+	return size == strlen(option) && !strncasecmp(text, option, size);
+}
+
+/* Notes the options of a list; empty elements are passed over (RFC 9110,
+ * 5.6.1). */
+static void read_connection(h1_framing_fields_t *fields, const char *value)
+{
+	size_t end, size;
+
+	while (*value) {
+		value += strspn(value, ", \t");
+		end = strcspn(value, ",");
+		size = end;
+		while (size &&
+		       (value[size - 1] == ' ' || value[size - 1] == '\t'))
+			size--;
+		fields->close |= is_option(value, size, "close");
+		fields->keep_alive |= is_option(value, size, "keep-alive");
+		value += end;
+	}
+}
+
 void h1_framing_field(h1_framing_t *framing, const char *name, size_t name_size,
 		      const char *value)
 {
 	static const char host[] = "Host", length[] = "Content-Length",
-			  coding[] = "Transfer-Encoding";
+			  coding[] = "Transfer-Encoding",
+			  connection[] = "Connection";
 	h1_framing_fields_t *fields = &framing->fields;
 
 	switch (name_size) {
@@ -319,17 +344,30 @@
 		if (strcasecmp(value, "chunked"))
 			fields->invalid = true;
 		break;
+	case sizeof(connection) - 1:
+		if (is_same_name(name, connection, sizeof(connection) - 1))
+			read_connection(fields, value);
+		break;
 	default:
 		break;
 	}
 }
 
+/* The connection ends with a body that has no other end. */
+static bool is_delimited(const h1_framing_fields_t *fields, bool request,
+			 bool without_body)
+{
+	return request || without_body || fields->lengths || fields->codings;
+}
+
 bool h1_framing_head(h1_framing_t *framing, bool request, unsigned int minor,
 		     bool without_body)
 {
 	const h1_framing_fields_t *fields = &framing->fields;
 
 	framing->chunked = fields->codings && !without_body;
+	framing->keep_alive = !fields->close && (minor || fields->keep_alive) &&
+			      is_delimited(fields, request, without_body);
 	if (fields->invalid || fields->lengths + fields->codings > 1)
 		return false;
 	/* HTTP/1.0 has no transfer codings and needs no host. */
--- a/src/h1/framing.h
+++ b/src/h1/framing.h
@@ -50,7 +50,8 @@
 	FRAMING_PART_BODY,
 } h1_framing_part_t;
 
-/* What the header lines say about the message's length and host. */
+/* What the header lines say about the message's length, its host and the
+ * connection. */
 typedef struct {
 	/* Numbers of lines. */
 	uint32_t hosts;
@@ -60,6 +61,9 @@
 	uint64_t length;
 	/* A length is no number, or a coding is not "chunked". */
 	bool invalid;
+	/* Options of Connection. */
+	bool close;
+	bool keep_alive;
 } h1_framing_fields_t;
 
 /* A zeroed one, but for @state, is at the start of a message. */
@@ -71,6 +75,8 @@
 	bool chunked;
 	/* The last chunk size was zero; what follows are trailer fields. */
 	bool last_chunk;
+	/* The connection may be used after the message. */
+	bool keep_alive;
 	/* First byte of the input that was not checked. */
 	const char *next;
 	h1_framing_fields_t fields;
--- a/src/h1/parse.c
+++ b/src/h1/parse.c
@@ -338,7 +338,7 @@
 		.body = parser->body.size ? parser->body.data : "",
 		.body_size = parser->body.size,
 		.omitted_size = omitted_size(parser),
-		.keep_alive = http_should_keep_alive(&parser->http),
+		.keep_alive = parser->framing.keep_alive,
 	};
 }
 
--- a/tests/unit/h1_framing_test.c
+++ b/tests/unit/h1_framing_test.c
@@ -359,6 +359,32 @@
 	}
 }
 
+/* "close" ends the connection whatever else is said (RFC 9112, 9.3), and
+ * wherever it stands in its list. */
+static void test_close_wins(void **state)
+{
+	static const char *const texts[] = {
+		"GET /a HTTP/1.0\r\nConnection: keep-alive, close\r\n\r\n",
+		"GET /a HTTP/1.0\r\nConnection: close\r\n"
+		"Connection: keep-alive\r\n\r\n",
+		GET HOST "Connection: close, keep-alive\r\n\r\n",
+		GET HOST "Connection: , close\r\n\r\n",
+		GET HOST "Connection: x,\tClose ,y\r\n\r\n",
+	};
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < MC_ARRAY_LEN(texts); i++) {
+		h1_parser_t parser = { 0 };
+
+		h1_parser_reset(&parser, true, HEAD_MAX, BODY_MAX);
+		feed(&parser, texts[i], strlen(texts[i]));
+		assert_true(parser.complete);
+		assert_false(h1_parser_message(&parser).keep_alive);
+		h1_parser_free(&parser);
+	}
+}
+
 /* Counts the requests that were handed out. */
 static void count_request(void *ctx, mc_handle_t connection,
 			  const mc_h1_message_t *message, mc_ms_t first_byte)
@@ -459,6 +485,7 @@
 		cmocka_unit_test(test_space_around_values),
 		cmocka_unit_test(test_responses_to_head),
 		cmocka_unit_test(test_statuses_without_body),
+		cmocka_unit_test(test_close_wins),
 		cmocka_unit_test(test_nothing_behind_is_served),
 	};
 
