front: requests still in flight at the end of a stop are answered

What callers saw: a search or a run that outlasted the grace period of its front, or was in flight when SIGINT came during a stop, ended with an empty 503. All other 503 of the front promise that nothing has run, so a caller may send a run again that has run. Nothing in the log named the request.

Cause: the front ignored the time by which a shutdown needs all answers. The empty 503 is what the HTTP server writes to connections that it can't close otherwise.

Change: that time bounds the deadlines of searches and runs in flight and of those that still come; after it a request is refused with "stopping". A search ends with the hits so far, or with "outcome_unknown" and the delay after which it may be sent again; a run with "outcome_unknown" if it was sent to a target, and with "stopping" (not run) if not.

--- a/src/front/api.c
+++ b/src/front/api.c
@@ -35,9 +35,17 @@
 	return MC_OK;
 }
 
+/* Returns MC_OK if a request that has arrived can be served. */
+static mc_err_t check_accepting(const front_t *front)
+{
+	mc_err_t err = front_check_stopping(front);
+
+	return err ? err : front_check_ready(front);
+}
+
 static void count_bad_input(front_t *front, mc_err_t err)
 {
-	if (err != MC_ERR_NOT_READY)
+	if (err != MC_ERR_NOT_READY && err != MC_ERR_STOPPING)
 		mc_counter_add(mc_shard_counters(front->shard),
 			       MC_COUNTER_BAD_INPUT, 1);
 }
@@ -45,7 +53,7 @@
 static void handle_search(front_t *front, const mc_http_exchange_t *exchange)
 {
 	search_request_t request = { 0 };
-	mc_err_t err = front_check_ready(front);
+	mc_err_t err = check_accepting(front);
 
 	mc_counter_add(mc_shard_counters(front->shard), MC_COUNTER_REQUESTS, 1);
 	if (!err)
@@ -63,7 +71,7 @@
 static void handle_run(front_t *front, const mc_http_exchange_t *exchange)
 {
 	run_request_t request = { 0 };
-	mc_err_t err = front_check_ready(front);
+	mc_err_t err = check_accepting(front);
 
 	mc_counter_add(mc_shard_counters(front->shard), MC_COUNTER_REQUESTS, 1);
 	if (!err)
--- a/src/front/front.c
+++ b/src/front/front.c
@@ -255,9 +255,34 @@
 static void front_drain(void *state, mc_ms_t answer_by)
 {
 	front_t *front = state;
+	uint32_t cursor = 0;
+	mc_handle_t handle;
+	query_t *query;
 
-	(void)answer_by;
 	front->draining = true;
+	front->answer_by = answer_by;
+	while ((query = mc_table_next(front->queries, &cursor, &handle)))
+		query_limit_deadline(query);
+	run_limit_deadlines(front);
+}
+
+mc_err_t front_check_stopping(const front_t *front)
+{
+	if (front->draining && mc_shard_now(front->shard) >= front->answer_by)
+		return mc_fail(MC_ERR_STOPPING, "planned stop in progress");
+	return MC_OK;
+}
+
+mc_ms_t front_limit_deadline(const front_t *front, mc_ms_t deadline)
+{
+	if (front->draining && deadline > front->answer_by)
+		return front->answer_by;
+	return deadline;
+}
+
+bool front_is_stop_deadline(const front_t *front, mc_ms_t deadline)
+{
+	return front->draining && deadline == front->answer_by;
 }
 
 static void on_linger_end(mc_shard_t *shard, void *arg)
--- a/src/front/front_private.h
+++ b/src/front/front_private.h
@@ -157,6 +157,8 @@
 	/* When the first configuration arrived; 0 before that. */
 	mc_ms_t configured_at;
 	bool draining;
+	/* While it is draining, all requests are answered by then, ms. */
+	mc_ms_t answer_by;
 	/*
 	 * LINGER_MS have passed since the front stopped accepting connections,
 	 * so the requests on the last accepted ones have arrived.
@@ -238,6 +240,15 @@
 /* Returns MC_OK if this front can accept requests now, else the reason. */
 mc_err_t front_check_ready(const front_t *front);
 
+/* front.c: the bound that a planned stop sets to all deadlines. */
+
+/* Returns MC_OK if a new request can still be answered, else the reason. */
+mc_err_t front_check_stopping(const front_t *front);
+/* Returns @deadline, or the time by which a planned stop needs all answers. */
+mc_ms_t front_limit_deadline(const front_t *front, mc_ms_t deadline);
+/* Whether it is the planned stop that sets this deadline. */
+bool front_is_stop_deadline(const front_t *front, mc_ms_t deadline);
+
 /* status.c: readiness, status and metrics. */
 void status_reply_ready(front_t *front, mc_handle_t exchange);
 void status_reply_status(front_t *front, mc_handle_t exchange);
@@ -273,6 +284,8 @@
 			 const mc_wire_result_t *result);
 void query_finish(front_t *front, query_t *query);
 void query_free(front_t *front, query_t *query);
+/* Brings the deadline forward if a planned stop needs the answer earlier. */
+void query_limit_deadline(query_t *query);
 
 /* plan.c: chooses targets and gathers, sends and cancels sub-queries. */
 
@@ -332,6 +345,8 @@
 mc_err_t run_init(front_t *front);
 void run_destroy(front_t *front);
 void run_begin(front_t *front, mc_handle_t exchange, run_request_t *request);
+/* Brings the deadlines of all runs forward; see query_limit_deadline(). */
+void run_limit_deadlines(front_t *front);
 void run_handle_result(front_t *front, sub_query_t *sub,
 		       const mc_wire_run_result_t *result);
 /* The link to the gather closed, so the outcome is unknown. */
--- a/src/front/query.c
+++ b/src/front/query.c
@@ -40,18 +40,36 @@
 		       coverage.shards_total - coverage.shards_answered);
 }
 
+/*
+ * Replies that the planned stop ends the search without a result. It may be
+ * sent again in any case, as a search may run more than once.
+ */
+static void reply_stopping(front_t *front, const query_t *query,
+			   const char *message)
+{
+	front_reply_error(
+		front, query->exchange,
+		mc_error_for_outcome(MC_ERR_STOPPING, query->may_have_run),
+		message, mc_error_response(MC_ERR_STOPPING)->retry_after);
+}
+
 /* Replies with an error, as no shard has a result. */
 static void reply_no_results(front_t *front, const query_t *query)
 {
 	mc_err_t err = query->last_error;
 	char message[MESSAGE_SIZE];
 
+	snprintf(message, sizeof(message),
+		 "no shard returned a result, request %s", query->id);
 	if (query->pending || !err)
 		err = MC_ERR_DEADLINE_EXCEEDED;
-	else if (query->may_have_run && mc_error_response(err)->not_run)
+	if (err == MC_ERR_DEADLINE_EXCEEDED &&
+	    front_is_stop_deadline(front, query->deadline)) {
+		reply_stopping(front, query, message);
+		return;
+	}
+	if (query->may_have_run && mc_error_response(err)->not_run)
 		err = MC_ERR_TARGET_FAILED;
-	snprintf(message, sizeof(message),
-		 "no shard returned a result, request %s", query->id);
 	front_reply_error(front, query->exchange, err, message, -1);
 }
 
@@ -98,17 +116,36 @@
 static void on_deadline(mc_shard_t *shard, void *arg)
 {
 	query_t *query = arg;
+	mc_err_t reason = MC_ERR_DEADLINE_EXCEEDED;
 	uint32_t i;
 
 	(void)shard;
 	query->deadline_timer = MC_HANDLE_NONE;
+	if (front_is_stop_deadline(query->front, query->deadline))
+		reason = mc_error_for_outcome(MC_ERR_STOPPING, true);
 	for (i = 0; i < query->slot_count; i++)
 		if (query->slots[i].outstanding)
-			mc_answer_set_missing_reason(query->answer, i,
-						     MC_ERR_DEADLINE_EXCEEDED);
+			mc_answer_set_missing_reason(query->answer, i, reason);
 	query_finish(query->front, query);
 }
 
+static void set_deadline_timer(query_t *query)
+{
+	mc_timer_set(query->front->shard, query->deadline, on_deadline, query,
+		     &query->deadline_timer);
+}
+
+void query_limit_deadline(query_t *query)
+{
+	mc_ms_t deadline = front_limit_deadline(query->front, query->deadline);
+
+	if (deadline == query->deadline)
+		return;
+	query->deadline = deadline;
+	mc_timer_cancel(query->front->shard, query->deadline_timer);
+	set_deadline_timer(query);
+}
+
 static query_t *create_query(front_t *front, mc_handle_t exchange,
 			     search_request_t *request)
 {
@@ -127,7 +164,8 @@
 	query->hash = mc_hash_string(query->id);
 	query->klass = request->klass;
 	query->started_at = now;
-	query->deadline = now + request->time_left - ANSWER_MARGIN_MS;
+	query->deadline = front_limit_deadline(front, now + request->time_left -
+							      ANSWER_MARGIN_MS);
 	query->limit = request->limit;
 	query->text = request->text;
 	request->text = NULL;
@@ -139,8 +177,7 @@
 {
 	mc_handle_t handle = query->handle;
 
-	mc_timer_set(front->shard, query->deadline, on_deadline, query,
-		     &query->deadline_timer);
+	set_deadline_timer(query);
 	plan_send_all(front, query);
 	query = mc_table_get(front->queries, handle);
 	if (!query)
--- a/src/front/run.c
+++ b/src/front/run.c
@@ -251,11 +251,40 @@
 	run->deadline_timer = MC_HANDLE_NONE;
 	if (sub)
 		sub_query_finish(run->front, sub, -1);
-	if (run->once.state == MC_ONCE_CLAIMING)
+	if (front_is_stop_deadline(run->front, run->deadline))
+		reason = MC_ERR_STOPPING;
+	else if (run->once.state == MC_ONCE_CLAIMING)
 		reason = MC_ERR_STORE_UNAVAILABLE;
 	run_step(run, MC_ONCE_EV_LOST, reason, NULL);
 }
 
+static void set_deadline_timer(run_t *run)
+{
+	mc_timer_set(run->front->shard, run->deadline, on_deadline, run,
+		     &run->deadline_timer);
+}
+
+static void limit_deadline(run_t *run)
+{
+	mc_ms_t deadline = front_limit_deadline(run->front, run->deadline);
+
+	if (deadline == run->deadline)
+		return;
+	run->deadline = deadline;
+	mc_timer_cancel(run->front->shard, run->deadline_timer);
+	set_deadline_timer(run);
+}
+
+void run_limit_deadlines(front_t *front)
+{
+	uint32_t cursor = 0;
+	mc_handle_t handle;
+	run_t *run;
+
+	while ((run = mc_table_next(front->runs, &cursor, &handle)))
+		limit_deadline(run);
+}
+
 static run_t *create_run(front_t *front, mc_handle_t exchange,
 			 run_request_t *request)
 {
@@ -275,7 +304,8 @@
 	run->service = request->service;
 	run->route_hash = request->route_hash;
 	run->started_at = now;
-	run->deadline = now + request->time_left - ANSWER_MARGIN_MS;
+	run->deadline = front_limit_deadline(front, now + request->time_left -
+							    ANSWER_MARGIN_MS);
 	run->text = request->text;
 	request->text = NULL;
 	run->view = mc_view_ref(front->view);
@@ -308,8 +338,7 @@
 				  "too many requests in progress", -1);
 		return;
 	}
-	mc_timer_set(front->shard, run->deadline, on_deadline, run,
-		     &run->deadline_timer);
+	set_deadline_timer(run);
 	run_step(run, MC_ONCE_EV_CLAIM, MC_OK, NULL);
 }
 
--- a/tests/system/cluster.c
+++ b/tests/system/cluster.c
@@ -199,6 +199,9 @@
 	write_peers(cluster, file);
 	fprintf(file, "shards = 2\nlog_level = \"%s\"\nseed = 1\n",
 		level ? level : "info");
+	if (cluster->params.grace)
+		fprintf(file, "grace_ms = %lld\n",
+			(long long)cluster->params.grace);
 	fprintf(file, "[front]\ncallers = \"%s\"\npeer = \"%s\"\n",
 		instance->caller_address, instance->front_peer_address);
 	fprintf(file, "[gather]\npeer = \"%s\"\n",
--- a/tests/system/cluster.h
+++ b/tests/system/cluster.h
@@ -36,6 +36,8 @@
  * @log_level: log level of fronts and gathers; NULL means "info"
  * @versions: number of versions "v1", "v2" ... of targets; each version has
  *	@replicas targets per shard and data centre; 0 means 1
+ * @grace: time that fronts and gathers have for a planned stop, ms; 0 means
+ *	the default of the settings
  */
 typedef struct cluster_params_t {
 	const char *name;
@@ -48,6 +50,7 @@
 	uint32_t targets_per_process;
 	const char *log_level;
 	uint32_t versions;
+	mc_ms_t grace;
 } cluster_params_t;
 
 /**
@@ -253,6 +256,27 @@
 harness_call_t *cluster_start_request(const cluster_instance_t *instance,
 				      const char *key, mc_ms_t deadline);
 
+/**
+ * cluster_send_request() - Send a request with a deadline on a connection
+ * @fd: connection to the caller address of @instance, from
+ *	raw_connect_address()
+ * @instance: the instance whose front receives the request
+ * @key: idempotency key of a run; NULL sends a search
+ * @deadline: deadline sent with the request, ms from now
+ *
+ * Return: false if the connection failed.
+ */
+bool cluster_send_request(int fd, const cluster_instance_t *instance,
+			  const char *key, mc_ms_t deadline);
+
+/**
+ * cluster_read_reply() - Read the response to cluster_send_request()
+ * @fd: the connection
+ *
+ * Return: the reply, to be freed with harness_reply_free().
+ */
+harness_reply_t cluster_read_reply(int fd);
+
 /**
  * cluster_platform_counter() - Set the platform's behaviour and read a counter
  * @cluster: the installation
--- a/tests/system/cluster_requests.c
+++ b/tests/system/cluster_requests.c
@@ -6,13 +6,17 @@
 #include <stdarg.h>
 #include <stddef.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 #include <cmocka.h>
 
 #include "cluster.h"
+#include "raw_http.h"
 
 enum {
 	HEADER_SIZE = 64,
+	REQUEST_SIZE = 1024,
+	REPLY_SIZE = 64 << 10,
 };
 
 #define SEARCH                                                            \
@@ -57,6 +61,34 @@
 	return harness_http_start(&prepared.request);
 }
 
+bool cluster_send_request(int fd, const cluster_instance_t *instance,
+			  const char *key, mc_ms_t deadline)
+{
+	prepared_request_t prepared;
+	char text[REQUEST_SIZE];
+
+	prepare_request(instance, key, deadline, &prepared);
+	snprintf(text, sizeof(text),
+		 "POST /v1/%s HTTP/1.1\r\nHost: %s\r\n%s\r\n%s%s"
+		 "Content-Length: %zu\r\n\r\n%s",
+		 key ? "run" : "search", instance->caller_address,
+		 prepared.deadline, key ? prepared.key : "", key ? "\r\n" : "",
+		 strlen(prepared.request.body), prepared.request.body);
+	return raw_send(fd, text);
+}
+
+harness_reply_t cluster_read_reply(int fd)
+{
+	harness_reply_t reply = { .connected = true };
+	char head[RAW_HEAD_MAX];
+
+	reply.body = calloc(1, REPLY_SIZE);
+	assert_non_null(reply.body);
+	reply.status = raw_read_response(fd, head, reply.body, REPLY_SIZE);
+	reply.json = json_loads(reply.body, 0, NULL);
+	return reply;
+}
+
 harness_call_t *cluster_search_start(const cluster_instance_t *instance)
 {
 	return cluster_start_request(instance, NULL, CLUSTER_DEADLINE_MS);
--- a/tests/system/raw_http.c
+++ b/tests/system/raw_http.c
@@ -19,6 +19,7 @@
 	/* More connections than a listening socket with backlog 0 queues. */
 	BACKLOG_FILLERS = 4,
 	POLL_INTERVAL_US = 5000,
+	ADDRESS_SIZE = 32,
 };
 
 /*
@@ -376,15 +377,35 @@
 
 int raw_connect(uint16_t port)
 {
-	struct sockaddr_in address = {
+	char address[ADDRESS_SIZE];
+
+	snprintf(address, sizeof(address), "127.0.0.1:%u", port);
+	return raw_connect_address(address);
+}
+
+static bool parse_address(const char *text, struct sockaddr_in *address)
+{
+	const char *colon = strchr(text, ':');
+	char ip[ADDRESS_SIZE];
+
+	if (!colon)
+		return false;
+	snprintf(ip, sizeof(ip), "%.*s", (int)(colon - text), text);
+	*address = (struct sockaddr_in){
 		.sin_family = AF_INET,
-		.sin_port = htons(port),
-		.sin_addr.s_addr = htonl(INADDR_LOOPBACK),
+		.sin_port = htons((uint16_t)strtoul(colon + 1, NULL, 10)),
 	};
+	return inet_pton(AF_INET, ip, &address->sin_addr) == 1;
+}
+
+int raw_connect_address(const char *text)
+{
+	struct sockaddr_in address;
 	struct timeval timeout = { .tv_sec = HARNESS_CALL_MS / 1000 };
 	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
 
-	if (connect(fd, (struct sockaddr *)&address, sizeof(address))) {
+	if (!parse_address(text, &address) ||
+	    connect(fd, (const struct sockaddr *)&address, sizeof(address))) {
 		close(fd);
 		return -1;
 	}
--- a/tests/system/raw_http.h
+++ b/tests/system/raw_http.h
@@ -124,6 +124,14 @@
  */
 int raw_connect(uint16_t port);
 
+/**
+ * raw_connect_address() - Connect as raw_connect() does, to any address
+ * @address: "IP:PORT", with an IPv4 address
+ *
+ * Return: as raw_connect().
+ */
+int raw_connect_address(const char *address);
+
 /** raw_send() - Send all of @text; return false if the connection failed */
 bool raw_send(int fd, const char *text);
 
