net: a caller that has shut down its sending side gets its response

What callers saw: a caller that half-closes its connection after the request got a closed connection without a response as soon as the front had another connection open; its search or run had been done.

Cause: libmicrohttpd 0.9.75 reads from a resumed connection before it asks the handler for the response, and closes the connection when the stream has ended. It asks first only for the connection that has been open longest (strace of a failing run: recv = 0, shutdown and close right after the resume, no send).

Change: a connection gets a time-out of its own while it is suspended. Connections with one are asked for the response before they are read from. The default time-out is set again at the end of the request, so the list of those that libmicrohttpd walks through each time holds resumed connections only.

--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -13,6 +13,8 @@
 enum {
 	CONNECTIONS_MAX = 16384,
 	CONNECTION_TIMEOUT_S = 60,
+	/* Any time other than CONNECTION_TIMEOUT_S, see suspend(). */
+	RESUMED_TIMEOUT_S = CONNECTION_TIMEOUT_S + 1,
 	BODY_MIN = 1024,
 };
 
@@ -160,6 +162,21 @@
 				  exchange->response);
 }
 
+/*
+ * Suspends the connection until the response is there. libmicrohttpd reads from
+ * a resumed connection before it asks for the response, and closes it if the
+ * caller has shut down its sending side; only connections with a time-out of
+ * their own are asked for the response first.
+ */
+static void suspend(exchange_t *exchange)
+{
+	exchange->suspended = true;
+	MHD_set_connection_option(exchange->connection,
+				  MHD_CONNECTION_OPTION_TIMEOUT,
+				  (unsigned)RESUMED_TIMEOUT_S);
+	MHD_suspend_connection(exchange->connection);
+}
+
 static enum MHD_Result call_handler(mc_shard_t *shard, exchange_t *exchange,
 				    const char *method, const char *path)
 {
@@ -178,8 +195,7 @@
 	server->handler(server->ctx, &call);
 	if (exchange->response)
 		return send_response(exchange);
-	exchange->suspended = true;
-	MHD_suspend_connection(exchange->connection);
+	suspend(exchange);
 	return MHD_YES;
 }
 
@@ -215,10 +231,11 @@
 	mc_shard_t *shard = ctx;
 	exchange_t *exchange = *state;
 
-	(void)connection;
 	(void)code;
 	if (!exchange)
 		return;
+	MHD_set_connection_option(connection, MHD_CONNECTION_OPTION_TIMEOUT,
+				  (unsigned)CONNECTION_TIMEOUT_S);
 	if (exchange->response)
 		MHD_destroy_response(exchange->response);
 	free(exchange->body);
--- a/tests/system/search_test.c
+++ b/tests/system/search_test.c
@@ -10,9 +10,12 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 #include <cmocka.h>
 
 #include "cluster.h"
+#include "raw_http.h"
 
 enum {
 	SHARDS = 4,
@@ -27,6 +30,10 @@
 	LATENESS_MAX_MS = 10000,
 	/* The shard whose targets a test kills or makes misbehave. */
 	AFFECTED_SHARD = 1,
+	/* Connections that callers half-close; every second one so long after
+	 * its request that the front has read it, ms. */
+	HALF_CLOSED = 4,
+	HALF_CLOSE_DELAY_MS = 100,
 };
 
 #define SEARCH                                                            \
@@ -389,6 +396,39 @@
 	json_decref(answer);
 }
 
+/*
+ * A caller that shuts down its sending side after its request still reads. It
+ * is not taken for one that has left, neither while targets work for it nor
+ * when its request and the end of its stream arrive together.
+ */
+static void test_answers_half_closed_connection(void **state)
+{
+	cluster_t *cluster = *state;
+	const cluster_instance_t *instance;
+	harness_reply_t reply;
+	int fds[HALF_CLOSED], i;
+
+	cluster_start(cluster);
+	wait_complete(cluster);
+	cluster_control_all_targets(cluster, "{\"delay_ms\":400}");
+	instance = &cluster->instances[0];
+	for (i = 0; i < HALF_CLOSED; i++) {
+		fds[i] = raw_connect_address(instance->caller_address);
+		assert_true(fds[i] >= 0);
+		assert_true(cluster_send_request(fds[i], instance, NULL,
+						 DEADLINE_MS));
+		if (i % 2)
+			harness_sleep(HALF_CLOSE_DELAY_MS);
+		shutdown(fds[i], SHUT_WR);
+	}
+	for (i = 0; i < HALF_CLOSED; i++) {
+		reply = cluster_read_reply(fds[i]);
+		assert_true(cluster_reply_is_complete(&reply));
+		harness_reply_free(&reply);
+		close(fds[i]);
+	}
+}
+
 /* Name of the log folder: the test to run, or "search" for all tests. */
 static const char *test_name = "search";
 
@@ -418,6 +458,7 @@
 		SEARCH_TEST(test_target_killed),
 		SEARCH_TEST(test_gather_killed_in_query),
 		SEARCH_TEST(test_front_stopped_in_query),
+		SEARCH_TEST(test_answers_half_closed_connection),
 	};
 
 	if (argc > 1) {
--- a/tests/unit/net_test.c
+++ b/tests/unit/net_test.c
@@ -7,7 +7,9 @@
 #include <stddef.h>
 #include <stdio.h>
 #include <string.h>
+#include <netinet/in.h>
 #include <pthread.h>
+#include <sys/socket.h>
 #include <unistd.h>
 #include <cmocka.h>
 
@@ -17,6 +19,7 @@
 	FRAME_COUNT = 100,
 	FRAME_SIZE = 100000,
 	WAIT_S = 20,
+	HELD_MAX = 8,
 };
 
 /* A counter that a test waits for. */
@@ -62,9 +65,12 @@
 	uint16_t port;
 	int fd;
 	event_t event;
+	/* Requests whose response is held back. */
+	event_t held;
 	mc_http_response_t response;
 	char body[256];
-	mc_handle_t held_exchange;
+	mc_handle_t held_exchanges[HELD_MAX];
+	int held_count;
 	int frames;
 	size_t bytes;
 } fixture_t;
@@ -89,6 +95,7 @@
 	memset(&fixture, 0, sizeof(fixture));
 	fixture.fd = -1;
 	event_init(&fixture.event);
+	event_init(&fixture.held);
 	fixture.server = make_shard(0);
 	fixture.client = make_shard(1);
 	*state = &fixture;
@@ -217,7 +224,10 @@
 	char text[256];
 
 	if (!strcmp(exchange->path, "/hold")) {
-		fixture->held_exchange = exchange->exchange;
+		assert_int_not_equal(fixture->held_count, HELD_MAX);
+		fixture->held_exchanges[fixture->held_count++] =
+			exchange->exchange;
+		event_add(&fixture->held);
 		return;
 	}
 	snprintf(text, sizeof(text), "%s %s %s %s", exchange->method,
@@ -318,6 +328,69 @@
 	assert_false(fixture->response.maybe_sent);
 }
 
+static int connect_to_server(const fixture_t *fixture)
+{
+	const struct sockaddr_in address = {
+		.sin_family = AF_INET,
+		.sin_port = htons(fixture->port),
+		.sin_addr.s_addr = htonl(INADDR_LOOPBACK),
+	};
+	const struct timeval timeout = { .tv_sec = WAIT_S };
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	assert_int_equal(
+		connect(fd, (const struct sockaddr *)&address, sizeof(address)),
+		0);
+	setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &timeout, sizeof(timeout));
+	return fd;
+}
+
+/* Answers all requests that are held, in one turn of the shard. */
+static void answer_held(mc_shard_t *shard, void *arg)
+{
+	fixture_t *fixture = arg;
+	int i;
+
+	for (i = 0; i < fixture->held_count; i++)
+		mc_http_reply(shard, fixture->held_exchanges[i], 200,
+			      "text/plain", "late", 4);
+}
+
+/*
+ * A caller that shuts down its sending side after its request still reads, and
+ * is not taken for one that has left: neither before its request is answered
+ * nor when the end of its stream is read together with it.
+ */
+static void test_http_half_closed(void **state)
+{
+	static const char text[] = "POST /hold HTTP/1.1\r\nHost: server\r\n"
+				   "Content-Length: 4\r\n\r\nbody";
+	fixture_t *fixture = *state;
+	char url[128], response[256];
+	int fds[HELD_MAX], i;
+	ssize_t size;
+
+	serve(fixture, url, sizeof(url), "/hold");
+	start_shards(fixture);
+	for (i = 0; i < HELD_MAX; i++) {
+		fds[i] = connect_to_server(fixture);
+		assert_int_equal(send(fds[i], text, strlen(text), 0),
+				 strlen(text));
+		if (i % 2)
+			event_wait(&fixture->held, i + 1);
+		shutdown(fds[i], SHUT_WR);
+	}
+	event_wait(&fixture->held, HELD_MAX);
+	mc_shard_post(fixture->server, answer_held, fixture);
+	for (i = 0; i < HELD_MAX; i++) {
+		size = recv(fds[i], response, sizeof(response) - 1, 0);
+		assert_true(size > 0);
+		response[size] = '\0';
+		assert_non_null(strstr(response, "HTTP/1.1 200 "));
+		close(fds[i]);
+	}
+}
+
 typedef struct {
 	int order[3];
 	int count;
@@ -395,6 +468,8 @@
 						set_up, tear_down),
 		cmocka_unit_test_setup_teardown(test_http_refused_was_not_sent,
 						set_up, tear_down),
+		cmocka_unit_test_setup_teardown(test_http_half_closed, set_up,
+						tear_down),
 		cmocka_unit_test_setup_teardown(test_timers, set_up, tear_down),
 		cmocka_unit_test_setup_teardown(test_post, set_up, tear_down),
 	};
