net: a request without a response at the end is not said to be unavailable

What callers saw: a request whose response the process has not made when it ends got an empty 503. In the table of error kinds 503 is the status of requests that have not run, while this one may have run.

Cause: the connections have to be resumed before libmicrohttpd can be stopped, and the status for that was chosen without regard to the request.

Change: 500, which promises nothing. Since requests of the front are answered before the end of a stop, this is the last resort only.

--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -344,7 +344,8 @@
 
 /*
  * Replies to open exchanges, as libmicrohttpd can't be stopped while
- * connections are suspended.
+ * connections are suspended. Their requests may have run, which the status
+ * "service unavailable" would deny.
  */
 static void resume_all(mc_shard_t *shard)
 {
@@ -356,7 +357,7 @@
 	while ((exchange = mc_table_next(server->exchanges, &cursor, &handle)))
 		if (exchange->suspended)
 			mc_http_reply(shard, handle,
-				      MHD_HTTP_SERVICE_UNAVAILABLE,
+				      MHD_HTTP_INTERNAL_SERVER_ERROR,
 				      "text/plain", "", 0);
 }
 
--- a/tests/unit/net_test.c
+++ b/tests/unit/net_test.c
@@ -328,6 +328,34 @@
 	assert_false(fixture->response.maybe_sent);
 }
 
+/*
+ * A request that was never answered gets a response when its shard ends. It
+ * doesn't say "unavailable", from which callers conclude that it has not run.
+ */
+static void test_http_unanswered_at_end(void **state)
+{
+	fixture_t *fixture = *state;
+	char url[128];
+	mc_http_request_t request = {
+		.method = "GET",
+		.url = url,
+		.timeout = WAIT_S * 1000,
+	};
+
+	serve(fixture, url, sizeof(url), "/hold");
+	assert_int_equal(mc_http_send(fixture->client, &request, keep_response,
+				      fixture, NULL),
+			 MC_OK);
+	start_shards(fixture);
+	event_wait(&fixture->held, 1);
+	mc_shard_stop(fixture->server);
+	mc_shard_destroy(fixture->server);
+	fixture->server = make_shard(0);
+	event_wait(&fixture->event, 1);
+	assert_int_equal(fixture->response.err, MC_OK);
+	assert_int_equal(fixture->response.status, 500);
+}
+
 static int connect_to_server(const fixture_t *fixture)
 {
 	const struct sockaddr_in address = {
@@ -468,6 +496,8 @@
 						set_up, tear_down),
 		cmocka_unit_test_setup_teardown(test_http_refused_was_not_sent,
 						set_up, tear_down),
+		cmocka_unit_test_setup_teardown(test_http_unanswered_at_end,
+						set_up, tear_down),
 		cmocka_unit_test_setup_teardown(test_http_half_closed, set_up,
 						tear_down),
 		cmocka_unit_test_setup_teardown(test_timers, set_up, tear_down),
