front: an error whose message is not valid UTF-8 is sent

What callers saw: a request for a path with the byte 0xff, or a search for a service with a long name of multi-byte characters, got no response at all, for as long as its connection stayed open. Each such request kept an exchange and made a planned stop last for the whole grace period.

Cause: the error message quotes the path, or is cut within a character at its maximum size. JSON needs valid UTF-8, so the encoding failed, and nothing was sent.

Change: a message that can't be encoded is sent with "?" for all that is not ASCII.

Measured: system_hostile, with the two requests added to bad_requests, failed before, once with each of them as the first to fail (no response within 30 s), and passes 4 of 4.

--- a/src/front/answer_json.c
+++ b/src/front/answer_json.c
@@ -7,6 +7,10 @@
 #include <stdlib.h>
 #include <string.h>
 
+enum {
+	ASCII_MAX = 0x7f,
+};
+
 static const char content_type[] = "application/json";
 
 static const char *service_name(const query_t *query, uint32_t slot)
@@ -101,6 +105,27 @@
 		      strlen(text));
 }
 
+/*
+ * Encodes an error message. It may quote bytes of the caller or end within a
+ * character; if it is not valid UTF-8, which JSON needs, all that is not ASCII
+ * is replaced.
+ */
+static json_t *encode_message(const char *message)
+{
+	json_t *encoded = json_string(message);
+	char *text, *at;
+
+	if (encoded)
+		return encoded;
+	text = strdup(message);
+	for (at = text; at && *at; at++)
+		if ((unsigned char)*at > ASCII_MAX)
+			*at = '?';
+	encoded = json_string(text);
+	free(text);
+	return encoded;
+}
+
 void front_reply_error(front_t *front, mc_handle_t exchange, mc_err_t err,
 		       const char *message, mc_ms_t retry_after)
 {
@@ -110,9 +135,9 @@
 
 	if (retry_after < 0)
 		retry_after = answer->retry_after;
-	root = json_pack("{s:{s:s, s:s, s:b, s:I}}", "error", "kind",
-			 answer->name, "message", message, "not_run",
-			 answer->not_run, "retry_after_ms",
+	root = json_pack("{s:{s:s, s:o, s:b, s:I}}", "error", "kind",
+			 answer->name, "message", encode_message(message),
+			 "not_run", answer->not_run, "retry_after_ms",
 			 (json_int_t)retry_after);
 	text = json_dumps(root, JSON_COMPACT);
 	json_decref(root);
--- a/tests/system/hostile_test.c
+++ b/tests/system/hostile_test.c
@@ -22,6 +22,7 @@
 	LARGE_BODY_SIZE = (4 << 20) + 1,
 	/* Connections to each port that send only part of a message. */
 	PARTIAL_MESSAGES = 40,
+	LONG_NAME_CHARACTERS = 600,
 	LOG_SIZE = 1 << 20,
 	PATH_SIZE = 512,
 	RECEIVE_TIMEOUT_S = 30,
@@ -72,9 +73,24 @@
 	return value;
 }
 
+/*
+ * Formats a search for a service whose name is longer than an error message,
+ * which is cut within a character of two bytes.
+ */
+static void format_long_name(char *text)
+{
+	int i;
+
+	text += sprintf(text, "{\"service\":\"x");
+	for (i = 0; i < LONG_NAME_CHARACTERS; i++)
+		text += sprintf(text, "\xc3\xa9");
+	sprintf(text, "\",\"query\":1}");
+}
+
 static void test_bad_requests(void **state)
 {
 	static char large[LARGE_BODY_SIZE + 1];
+	char long_name[PATH_SIZE * 4];
 	const bad_request_t cases[] = {
 		{ "POST", "/v1/search", NULL, large, 413, "too_large" },
 		{ "POST", "/v1/run", NULL, large, 413, "too_large" },
@@ -92,11 +108,15 @@
 		  "bad_request" },
 		{ "GET", "/v1/search", NULL, NULL, 405, "bad_method" },
 		{ "GET", "/v1/none", NULL, NULL, 404, "not_found" },
+		{ "GET", "/v1/%ff", NULL, NULL, 404, "not_found" },
+		{ "POST", "/v1/search", NULL, long_name, 404,
+		  "unknown_service" },
 	};
 	cluster_t *cluster = *state;
 	const cluster_instance_t *instance = &cluster->instances[0];
 	size_t i;
 
+	format_long_name(long_name);
 	cluster_start(cluster);
 	memset(large, '1', LARGE_BODY_SIZE);
 	for (i = 0; i < MC_ARRAY_LEN(cases); i++)
