tests: stand-ins answer HEAD without a body and tell what they broke off

The soak needs three things of the stand-ins. A searcher leaves out the body of its answer to HEAD; with it, the connection to the searcher could not be used again. searcher_broke_off() says whether the answer to an attempt was broken off. The idle time-out of the site's configuration can be set; its default is the 15 s that were there.

--- a/tests/system/searchers.c
+++ b/tests/system/searchers.c
@@ -41,6 +41,8 @@
 	char (*run_ids)[SEARCHER_ID_SIZE];
 	/* First letter of the HTTP method of each run in @run_ids. */
 	char run_methods[RUNS_MAX];
+	/* Whether the searcher broke off its response to each run. */
+	bool run_broken_off[RUNS_MAX];
 	/* When each request was received, ms. */
 	mc_ms_t request_times[RUNS_MAX];
 	char last_request[RAW_HEAD_MAX];
@@ -52,6 +54,21 @@
 		 searcher->service, searcher->number, searcher->incarnation);
 }
 
+static bool breaks_off(searcher_fault_t fault)
+{
+	switch (fault) {
+	case SEARCHER_FAULT_NO_ANSWER:
+	case SEARCHER_FAULT_RESET:
+	case SEARCHER_FAULT_TRUNCATED:
+	case SEARCHER_FAULT_RESET_HALFWAY:
+	case SEARCHER_FAULT_CHUNKS_CUT:
+	case SEARCHER_FAULT_GARBAGE:
+		return true;
+	default:
+		return false;
+	}
+}
+
 static searcher_fault_t consume_fault(searcher_t *searcher)
 {
 	if (searcher->failing_interval &&
@@ -256,6 +273,17 @@
 	}
 }
 
+/* Leaves out the body of a response to HEAD. */
+static void remove_body(char *response, size_t *size)
+{
+	char *end;
+
+	response[*size] = '\0';
+	end = strstr(response, "\r\n\r\n");
+	if (end)
+		*size = (size_t)(end + 4 - response);
+}
+
 static raw_connection_action_t handle_request(void *ctx,
 					      const raw_request_t *request,
 					      char *response, size_t *size)
@@ -294,6 +322,8 @@
 	delay = searcher->delay;
 	if (fault != SEARCHER_FAULT_SHED && searcher->run_count < RUNS_MAX) {
 		searcher->run_methods[searcher->run_count] = request->method[0];
+		searcher->run_broken_off[searcher->run_count] =
+			breaks_off(fault);
 		snprintf(searcher->run_ids[searcher->run_count++],
 			 SEARCHER_ID_SIZE, "%s", attempt);
 	}
@@ -303,6 +333,8 @@
 	pthread_mutex_lock(&searcher->lock);
 	action = format_response(searcher, fault, attempt, response, size);
 	pthread_mutex_unlock(&searcher->lock);
+	if (!strcmp(request->method, "HEAD") && fault == SEARCHER_FAULT_NONE)
+		remove_body(response, size);
 	return action;
 }
 
@@ -451,6 +483,19 @@
 	return count;
 }
 
+bool searcher_broke_off(searcher_t *searcher, const char *id)
+{
+	bool found = false;
+	uint32_t i;
+
+	pthread_mutex_lock(&searcher->lock);
+	for (i = 0; !found && i < searcher->run_count; i++)
+		found = searcher->run_broken_off[i] &&
+			!strcmp(searcher->run_ids[i], id);
+	pthread_mutex_unlock(&searcher->lock);
+	return found;
+}
+
 uint32_t searcher_count_requests(searcher_t *searcher)
 {
 	uint32_t count;
--- a/tests/system/searchers.h
+++ b/tests/system/searchers.h
@@ -148,6 +148,10 @@
  */
 uint32_t searcher_count_runs(searcher_t *searcher, const char *id);
 
+/** searcher_broke_off() - Return whether the searcher ran attempt @id and broke
+ * off its response */
+bool searcher_broke_off(searcher_t *searcher, const char *id);
+
 /** searcher_count_requests() - Count the requests received, run or not */
 uint32_t searcher_count_requests(searcher_t *searcher);
 
--- a/tests/system/site.c
+++ b/tests/system/site.c
@@ -76,12 +76,13 @@
 		json_array_append_new(routes, extra);
 	site->version += 3;
 	object_store_put(site->object_store, "config", "main",
-			 json_pack("{sI so so s{si si si si}}", "version",
+			 json_pack("{sI so so s{si si si sI}}", "version",
 				   (json_int_t)site->version, "routes", routes,
 				   "services", services_json(), "limits",
 				   "maxHeaderBytes", 16384, "maxBodyBytes",
 				   65536, "headerTimeoutMs", 3000,
-				   "idleTimeoutMs", 15000));
+				   "idleTimeoutMs",
+				   (json_int_t)site->idle_timeout));
 }
 
 static void write_settings(const site_t *site, uint32_t index, const char *path)
@@ -242,6 +243,7 @@
 	site->object_store = object_store_start();
 	site->instance_count = instances;
 	site->notice = SITE_NOTICE_MS;
+	site->idle_timeout = SITE_IDLE_TIMEOUT_MS;
 	site_put_config(site, NULL);
 	for (i = 0; i < SITE_SHARDS; i++)
 		for (j = 0; j < SITE_REPLICAS; j++) {
--- a/tests/system/site.h
+++ b/tests/system/site.h
@@ -16,6 +16,8 @@
 	SITE_GRACE_MS = 3000,
 	/* Default of @notice in site_t. */
 	SITE_NOTICE_MS = 500,
+	/* Default of @idle_timeout in site_t. */
+	SITE_IDLE_TIMEOUT_MS = 15000,
 	/* Memory that an instance may use, MB. */
 	SITE_MEMORY_MB = 128,
 };
@@ -47,6 +49,8 @@
  * @store_port: port at which instances reach the store; 0 for its own port
  * @notice: time for which stopping instances only report that they are not
  *	ready, ms; SITE_NOTICE_MS if it is not changed before they are started
+ * @idle_timeout: time after which instances close a caller's idle connection,
+ *	ms; in force with the next configuration
  * @version: version of the configuration that was written last
  * @attempts: number of requests sent, for unique attempt ids
  */
@@ -59,6 +63,7 @@
 	site_instance_t instances[SITE_INSTANCES_MAX];
 	uint16_t store_port;
 	mc_ms_t notice;
+	mc_ms_t idle_timeout;
 	uint64_t version;
 	unsigned int attempts;
 } site_t;
