soak: a first request on an accepted connection crosses no close

An instance that stops waits for the first request on each accepted connection, so only a reset of a connection that it has not accepted can cross a first request.

--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -108,6 +108,8 @@
  * @deadline: deadline that was sent with it, ms from @sent_at
  * @idle: how long the instance may have been without a request on the
  *connection when this one was sent, at most, ms
+ * @is_first: no request was sent on the connection before
+ * @was_reset: the connection ended with a TCP reset
  * @is_behind_answer: it was in one write with an earlier request, which was
  *	answered
  * @has_arrived: it was at the instance before the connection was closed
@@ -121,6 +123,8 @@
 	mc_ms_t ended_at;
 	mc_ms_t deadline;
 	mc_ms_t idle;
+	bool is_first;
+	bool was_reset;
 	bool is_behind_answer;
 	bool has_arrived;
 	bool has_begun;
--- a/tests/soak/soak_callers.c
+++ b/tests/soak/soak_callers.c
@@ -45,6 +45,8 @@
 	const caller_kind_t *kind;
 	/* When the last request was sent, or the connection was opened, ms. */
 	mc_ms_t used_at;
+	/* No request was sent on the connection yet. */
+	bool is_fresh;
 	soak_conn_t conn;
 	soak_response_t response;
 } caller_t;
@@ -55,6 +57,7 @@
 	uint32_t count;
 	mc_ms_t sent_at;
 	mc_ms_t idle;
+	bool is_first;
 	/* The connection had ended when the last byte was sent. */
 	bool had_ended;
 } batch_t;
@@ -102,6 +105,8 @@
 		.ended_at = now,
 		.deadline = request->deadline,
 		.idle = batch->idle,
+		.is_first = batch->is_first,
+		.was_reset = caller->conn.was_reset,
 		.is_behind_answer = behind_answer,
 		.has_arrived = caller->kind->checks_arrival &&
 			       !batch->had_ended &&
@@ -173,7 +178,9 @@
 		return false;
 	batch.sent_at = soak_now();
 	batch.idle = batch.sent_at - caller->used_at;
+	batch.is_first = caller->is_fresh;
 	caller->used_at = batch.sent_at;
+	caller->is_fresh = false;
 	if (half_close)
 		shutdown(caller->conn.fd, SHUT_WR);
 	__atomic_add_fetch(&counts_of(caller)->sent, request_count,
@@ -341,6 +348,7 @@
 	choose_kind(caller);
 	caller->instance = mc_random_below(&caller->random, SOAK_INSTANCES);
 	caller->used_at = soak_now();
+	caller->is_fresh = true;
 	if (!soak_conn_open(&caller->conn,
 			    instances[caller->instance].caller_port,
 			    caller->kind->receive_buffer))
--- a/tests/soak/soak_conn.c
+++ b/tests/soak/soak_conn.c
@@ -31,6 +31,7 @@
 	conn->used = 0;
 	conn->byte_pause = 0;
 	conn->timed_out = false;
+	conn->was_reset = false;
 	conn->fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
 	/* The size has to be known when the connection is established. */
 	if (receive_buffer)
@@ -83,6 +84,7 @@
 		    conn->byte_pause ? 1 : space, 0);
 	if (size <= 0) {
 		conn->timed_out = size < 0 && errno == EAGAIN;
+		conn->was_reset = size < 0 && errno == ECONNRESET;
 		return false;
 	}
 	conn->used += (size_t)size;
--- a/tests/soak/soak_conn.h
+++ b/tests/soak/soak_conn.h
@@ -19,6 +19,7 @@
  * @fd: the socket
  * @byte_pause: pause after each byte that is read, µs; 0 reads without pauses
  * @timed_out: nothing came for SOAK_READ_TIMEOUT_MS
+ * @was_reset: the connection ended with a TCP reset
  * @used: number of bytes in @buffer that belong to no response yet
  * @buffer: bytes that were read
  */
@@ -26,6 +27,7 @@
 	int fd;
 	uint32_t byte_pause;
 	bool timed_out;
+	bool was_reset;
 	size_t used;
 	char buffer[RAW_HEAD_MAX + SOAK_BODY_MAX];
 } soak_conn_t;
--- a/tests/soak/soak_lost.c
+++ b/tests/soak/soak_lost.c
@@ -162,8 +162,9 @@
 
 /*
  * Whether the instance may have closed the connection before the request
- * arrived. It closes connections without a request only while it stops, and
- * when they have been idle for long.
+ * arrived. It closes connections without a request only when they have been
+ * idle for long, and while it stops. Then it also resets those that it has not
+ * accepted, but waits for the first request on those that it has.
  */
 static bool may_have_crossed(const soak_t *soak, const soak_cut_t *cut)
 {
@@ -171,8 +172,11 @@
 		return false;
 	if (cut->ended_at - cut->sent_at > CROSSING_MAX_MS)
 		return false;
-	return cut->idle >= SOAK_IDLE_TIMEOUT_MS - CLOCK_MARGIN_MS ||
-	       is_disrupted(soak, cut, SOAK_DISRUPTION_STOPPING, cut->instance);
+	if (cut->idle >= SOAK_IDLE_TIMEOUT_MS - CLOCK_MARGIN_MS)
+		return true;
+	return is_disrupted(soak, cut, SOAK_DISRUPTION_STOPPING,
+			    cut->instance) &&
+	       (!cut->is_first || cut->was_reset);
 }
 
 static void report_lost(soak_t *soak, const soak_cut_t *cut, uint32_t runs)
@@ -181,12 +185,13 @@
 
 	snprintf(detail, sizeof(detail),
 		 "caller=%s instance=%u runs=%u waited_ms=%lld "
-		 "idle_ms=%lld behind_answer=%d arrived=%d begun=%d "
-		 "ended_ms=%lld",
+		 "idle_ms=%lld first=%d reset=%d behind_answer=%d arrived=%d "
+		 "begun=%d ended_ms=%lld",
 		 callers_kind_name(cut->caller_kind), cut->instance, runs,
 		 (long long)(cut->ended_at - cut->sent_at),
-		 (long long)cut->idle, cut->is_behind_answer, cut->has_arrived,
-		 cut->has_begun, (long long)(cut->ended_at - soak->started_at));
+		 (long long)cut->idle, cut->is_first, cut->was_reset,
+		 cut->is_behind_answer, cut->has_arrived, cut->has_begun,
+		 (long long)(cut->ended_at - soak->started_at));
 	soak_report_violation(soak, "LOST: no answer to a request", cut->id,
 			      detail);
 }
