h1: a shard without descriptors doesn't try to accept without a pause

What callers saw: requests in flight at an instance that has no descriptors left became slow, as its shards used all processor time.

Cause: the listening socket stays ready while connections wait to be accepted, so a failure to accept was followed by the next try at once.

Change: after a failure the socket isn't watched for 0.1 s; the failure is counted (accepts_failed) and logged with its reason. Connections wait meanwhile.

--- a/src/base/include/mc/base/counter.h
+++ b/src/base/include/mc/base/counter.h
@@ -36,6 +36,7 @@
 	X(TARGET_CONNECTIONS, "target_connections", "connections to targets")  \
 	X(EXTRAS, "extras", "requests sent to targets beyond the first")       \
 	X(ATTEMPTS_ENDED, "attempts_ended", "of these and sub_queries, ended") \
+	X(ACCEPTS_FAILED, "accepts_failed", "tries to accept that failed")     \
 	X(CALLERS_GONE, "callers_gone", "callers that left before the answer") \
 	X(TARGET_SHEDS, "target_sheds", "sub-queries that targets shed")       \
 	X(LIMITED, "limited", "sub-queries refused at a target's limit")       \
--- a/src/h1/h1_private.h
+++ b/src/h1/h1_private.h
@@ -163,6 +163,8 @@
 	h1_budget_t response_budget;
 	int listen_fd;
 	mc_handle_t listen_watch;
+	/* Resumes accepting after a failure. */
+	mc_handle_t accept_timer;
 	/* Each response closes its connection. */
 	bool draining;
 	/* The listening socket is no longer watched. */
--- a/src/h1/listen.c
+++ b/src/h1/listen.c
@@ -4,8 +4,41 @@
 #include "server_conn.h"
 
 #include <errno.h>
+#include <string.h>
 #include <sys/socket.h>
 
+enum {
+	/* Pause after a failure to accept, as without descriptors, ms. */
+	ACCEPT_RETRY_MS = 100,
+};
+
+static void resume_accepting(mc_shard_t *shard, void *arg)
+{
+	mc_h1_t *h1 = arg;
+
+	h1->accept_timer = MC_HANDLE_NONE;
+	mc_watch_change(shard, h1->listen_watch, MC_WATCH_READ);
+}
+
+/* The socket stays ready while connections wait, so it is not watched for some
+ * time. */
+static void handle_accept_failure(mc_h1_t *h1, int error)
+{
+	mc_counter_add(mc_shard_counters(h1->shard), MC_COUNTER_ACCEPTS_FAILED,
+		       1);
+	mc_log(mc_shard_log(h1->shard), MC_LOG_WARNING, "h1",
+	       "connections not accepted for a while: %s ms=%d",
+	       strerror(error), ACCEPT_RETRY_MS);
+	if (h1->accept_timer.generation)
+		return;
+	if (mc_timer_set(h1->shard, mc_shard_now(h1->shard) + ACCEPT_RETRY_MS,
+			 resume_accepting, h1, &h1->accept_timer))
+		mc_log(mc_shard_log(h1->shard), MC_LOG_ERROR, "h1",
+		       "accepting not paused: %s", mc_last_error_message());
+	else
+		mc_watch_change(h1->shard, h1->listen_watch, 0);
+}
+
 static void accept_conns(mc_shard_t *shard, void *arg, int events)
 {
 	mc_h1_t *h1 = arg;
@@ -18,8 +51,11 @@
 			     SOCK_NONBLOCK | SOCK_CLOEXEC);
 		if (fd < 0 && (errno == EINTR || errno == ECONNABORTED))
 			continue;
-		if (fd < 0)
+		if (fd < 0) {
+			if (errno != EAGAIN && errno != EWOULDBLOCK)
+				handle_accept_failure(h1, errno);
 			return;
+		}
 		server_conn_add(h1, fd);
 	}
 }
@@ -51,6 +87,7 @@
 	if (h1->closing || !h1->server)
 		return;
 	accept_conns(h1->shard, h1, MC_WATCH_READ);
+	mc_timer_cancel(h1->shard, h1->accept_timer);
 	mc_watch_remove(h1->shard, h1->listen_watch);
 	shutdown(h1->listen_fd, SHUT_RD);
 }
@@ -90,7 +127,9 @@
 		return;
 	while ((conn = mc_table_next(h1->server_conns, &cursor, &handle)))
 		server_conn_free(conn);
-	if (h1->server && !h1->closing)
+	if (h1->server && !h1->closing) {
+		mc_timer_cancel(h1->shard, h1->accept_timer);
 		mc_watch_remove(h1->shard, h1->listen_watch);
+	}
 	mc_table_destroy(h1->server_conns);
 }
--- a/tests/unit/h1_test.c
+++ b/tests/unit/h1_test.c
@@ -12,6 +12,7 @@
 #include <arpa/inet.h>
 #include <poll.h>
 #include <pthread.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
 #include <cmocka.h>
@@ -28,6 +29,10 @@
 	/* An idle time-out that passes while the shard is held up, ms. */
 	SHORT_IDLE_MS = 100,
 	HOLD_MS = 300,
+	/* For how long no descriptors are left, ms, and most tries to accept a
+	 * connection meanwhile: one in 100 ms, and the first. */
+	NO_DESCRIPTORS_MS = 500,
+	ACCEPTS_MAX = 6,
 };
 
 /* Results of the handlers; the test reads them under the shard's lock. */
@@ -554,6 +559,51 @@
 	close(fd);
 }
 
+static uint64_t count_failed_accepts(fixture_t *fixture)
+{
+	uint64_t count;
+
+	mc_shard_lock(fixture->shard);
+	count = mc_shard_counters(fixture->shard)
+			->values[MC_COUNTER_ACCEPTS_FAILED];
+	mc_shard_unlock(fixture->shard);
+	return count;
+}
+
+/*
+ * While no descriptors are left, connections wait to be accepted, and the shard
+ * doesn't try again and again without a pause. They are served later.
+ */
+static void test_out_of_descriptors(void **state)
+{
+	fixture_t *fixture = *state;
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+	struct sockaddr_in address = {
+		.sin_family = AF_INET,
+		.sin_port = htons(fixture->port),
+		.sin_addr.s_addr = htonl(INADDR_LOOPBACK),
+	};
+	struct rlimit limit, none;
+	char text[TEXT_SIZE];
+	uint64_t failed;
+
+	assert_int_equal(getrlimit(RLIMIT_NOFILE, &limit), 0);
+	none = limit;
+	none.rlim_cur = 0;
+	assert_int_equal(setrlimit(RLIMIT_NOFILE, &none), 0);
+	assert_int_equal(
+		connect(fd, (struct sockaddr *)&address, sizeof(address)), 0);
+	send_text(fd, "GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+	usleep(NO_DESCRIPTORS_MS * 1000);
+	failed = count_failed_accepts(fixture);
+	assert_int_equal(setrlimit(RLIMIT_NOFILE, &limit), 0);
+	assert_true(failed >= 1);
+	assert_true(failed <= ACCEPTS_MAX);
+	read_until(fd, text, "done", 1);
+	assert_non_null(strstr(text, "done"));
+	close(fd);
+}
+
 /* Opens the listening socket of a raw server for the tests of the client. */
 static int raw_server(uint16_t *port)
 {
@@ -717,6 +767,7 @@
 		H1_TEST(test_half_closed),
 		H1_TEST(test_draining),
 		H1_TEST(test_request_at_idle_timeout),
+		H1_TEST(test_out_of_descriptors),
 		H1_TEST(test_client_responses),
 		H1_TEST(test_client_awaits_next_response),
 		H1_TEST(test_trailers_of_responses),
