h1: a peer that doesn't read its response doesn't hold the connection for ever

What callers saw: each connection of a caller that never reads kept its response in memory and one of the shard's connections for as long as the process ran, and a planned stop waited for it until its grace period was over.

Cause: a connection that sends its response had no time-out.

Change: it is closed when its peer takes no byte for the idle time-out of the configuration. A slow reader that takes some goes on.

--- a/src/h1/server.c
+++ b/src/h1/server.c
@@ -144,17 +144,31 @@
 	return true;
 }
 
+/* Waits for the peer to take bytes of its response. */
+static void await_progress(server_conn_t *conn)
+{
+	conn->sent_at_check = conn->stream.sent_total;
+	conn->expires_at =
+		mc_shard_now(conn->h1->shard) + conn->h1->limits.idle_timeout;
+}
+
+static bool makes_progress(const server_conn_t *conn)
+{
+	return conn->state == CONN_RESPONDING &&
+	       conn->stream.sent_total != conn->sent_at_check;
+}
+
 /* A connection has one timer, which is set again when it fires too early. */
 static void check_timeout(mc_shard_t *shard, void *arg)
 {
 	server_conn_t *conn = arg;
 	mc_ms_t now = mc_shard_now(shard);
-	mc_ms_t at = conn->expires_at;
 
-	if (conn->state == CONN_HANDLING || conn->state == CONN_RESPONDING)
-		at = now + conn->h1->limits.idle_timeout;
-	if (now < at) {
-		set_timer(conn, at);
+	if (conn->state == CONN_HANDLING ||
+	    (now >= conn->expires_at && makes_progress(conn)))
+		await_progress(conn);
+	if (now < conn->expires_at) {
+		set_timer(conn, conn->expires_at);
 		return;
 	}
 	if (put_off_timeout(conn))
@@ -359,8 +373,10 @@
 		server_conn_free(conn);
 		return MC_OK;
 	}
-	if (h1_stream_pending(&conn->stream))
+	if (h1_stream_pending(&conn->stream)) {
+		await_progress(conn);
 		return MC_OK;
+	}
 	handle_response_sent(conn);
 	if (conn->state == CONN_READING && !conn->parsing)
 		parse_read_ahead(conn);
--- a/src/h1/server_conn.h
+++ b/src/h1/server_conn.h
@@ -49,6 +49,8 @@
 	mc_ms_t round_trip;
 	/* When the first byte of the request was read, ms. */
 	mc_ms_t first_byte;
+	/* Bytes sent when the time-out of a response was last checked. */
+	uint64_t sent_at_check;
 	/* When the current state times out, ms. */
 	mc_ms_t expires_at;
 	mc_handle_t timer;
--- a/tests/unit/h1_test.c
+++ b/tests/unit/h1_test.c
@@ -33,6 +33,8 @@
 	 * connection meanwhile: one in 100 ms, and the first. */
 	NO_DESCRIPTORS_MS = 500,
 	ACCEPTS_MAX = 6,
+	/* More than the socket buffers of both sides hold. */
+	UNREAD_BYTES = 64 << 20,
 };
 
 /* Results of the handlers; the test reads them under the shard's lock. */
@@ -46,6 +48,9 @@
 	uint32_t disconnected;
 	bool hold_responses;
 	mc_handle_t held_connection;
+	/* Body of the responses; "done" if it is NULL. */
+	const char *body;
+	size_t body_size;
 	char last_request[256];
 	char last_body[256];
 	char last_headers[1024];
@@ -79,9 +84,11 @@
 		       const mc_h1_message_t *message, mc_ms_t first_byte)
 {
 	fixture_t *fixture = ctx;
-	const mc_h1_response_t response = { .status = 200,
-					    .body = "done",
-					    .body_size = 4 };
+	const mc_h1_response_t response = {
+		.status = 200,
+		.body = fixture->body ? fixture->body : "done",
+		.body_size = fixture->body ? fixture->body_size : 4,
+	};
 
 	(void)first_byte;
 	fixture->requests++;
@@ -559,6 +566,38 @@
 	close(fd);
 }
 
+static bool has_no_connections(fixture_t *fixture)
+{
+	bool none;
+
+	mc_shard_lock(fixture->shard);
+	none = !mc_h1_server_connection_count(fixture->h1);
+	mc_shard_unlock(fixture->shard);
+	return none;
+}
+
+/* A peer that doesn't read its response holds the connection for two idle
+ * time-outs at most. */
+static void test_peer_does_not_read(void **state)
+{
+	fixture_t *fixture = *state;
+	mc_ms_t end = mc_clock_now(mc_clock_system()) + WAIT_MS;
+	int fd;
+
+	fixture->body_size = UNREAD_BYTES;
+	fixture->body = calloc(1, UNREAD_BYTES);
+	set_idle_timeout(fixture, SHORT_IDLE_MS);
+	fd = connect_to(fixture->port);
+	send_text(fd, "GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+	wait_for(fixture, &fixture->requests, 1);
+	while (!has_no_connections(fixture)) {
+		assert_true(mc_clock_now(mc_clock_system()) < end);
+		usleep(1000);
+	}
+	close(fd);
+	free((char *)fixture->body);
+}
+
 static uint64_t count_failed_accepts(fixture_t *fixture)
 {
 	uint64_t count;
@@ -768,6 +807,7 @@
 		H1_TEST(test_draining),
 		H1_TEST(test_request_at_idle_timeout),
 		H1_TEST(test_out_of_descriptors),
+		H1_TEST(test_peer_does_not_read),
 		H1_TEST(test_client_responses),
 		H1_TEST(test_client_awaits_next_response),
 		H1_TEST(test_trailers_of_responses),
