rollout: a version whose order is replaced before its proof stays barred

Where an order is replaced before its end, the version of the former one would get as many requests as any other while its targets are registered, whether it is bad or not, and its failures would count as those of the old version, which the next one is compared with.

Cause: a replaced order was forgotten, unless its version had been rolled back, and a version without an order has no rule.

Change: such a version is barred until it is ordered again, as one that was rolled back is. One that is preferred is not: it is proved, or the service had no other. A barred version's slots don't count as ones to fall back to: an order back to the former version would else leave that one a small share and nobody the rest (with this switched off, unit_discovery order_back_to_former_version fails), and the next version would need half of both.

Not solved: an instance that starts after the replacement doesn't know it.

--- a/src/discovery/rollouts.c
+++ b/src/discovery/rollouts.c
@@ -7,6 +7,8 @@
  */
 #include "discovery_private.h"
 
+#include <string.h>
+
 enum {
 	/* Interval at which orders in progress are judged, ms. */
 	UPDATE_INTERVAL_MS = 250,
@@ -74,8 +76,24 @@
 					  const char *version)
 {
 	const mc_discovery_t *discovery = ctx;
+	const mc_registry_t *registry = discovery->registry;
+	mc_rollout_capacity_t capacity =
+		mc_registry_capacity(registry, service, version);
+	mc_rollout_rule_t rules[MC_ROLLOUTS_MAX];
+	uint32_t count = mc_rollouts_get_rules(discovery->rollouts, rules,
+					       MC_ROLLOUTS_MAX);
+	uint32_t i;
 
-	return mc_registry_capacity(discovery->registry, service, version);
+	/* Nothing can fall back to a version that is barred. */
+	for (i = 0; i < count; i++)
+		if (rules[i].mode == MC_ROLLOUT_BARRED &&
+		    !strcmp(rules[i].service, service) &&
+		    strcmp(rules[i].version, version))
+			capacity.old_slots -=
+				mc_registry_capacity(registry, service,
+						     rules[i].version)
+					.new_slots;
+	return capacity;
 }
 
 static void publish_rules(mc_discovery_t *discovery)
--- a/src/rollout/include/mc/rollout.h
+++ b/src/rollout/include/mc/rollout.h
@@ -111,7 +111,7 @@
 /**
  * struct mc_rollout_capacity_t - registered targets of a service in an order
  * @is_known: the targets have been listed
- * @old_slots: slots of the targets of all other versions
+ * @old_slots: slots of the targets of all other versions that are not barred
  * @new_slots: slots of the targets of the order's version
  */
 typedef struct mc_rollout_capacity_t {
@@ -140,12 +140,12 @@
  * @order: the order; copied
  * @now: time, ms; a new order's time counts from it
  *
- * A version that was rolled back stays barred when the service gets a new
- * order. An order that is older than the known one of the service was read late
- * and is ignored. An order for the same version that has not ended is a new one
- * if its duration has changed, or if it has no state while its revision has
- * changed: its time counts from @now, and evidence of the former one is not
- * used.
+ * A version that was rolled back, or whose order was replaced before it was
+ * proved, stays barred when the service gets a new order. An order that is
+ * older than the known one of the service was read late and is ignored. An
+ * order for the same version that has not ended is a new one if its duration
+ * has changed, or if it has no state while its revision has changed: its time
+ * counts from @now, and evidence of the former one is not used.
  *
  * Return: MC_OK; MC_ERR_FULL with a last message.
  */
--- a/src/rollout/rollout_private.h
+++ b/src/rollout/rollout_private.h
@@ -11,7 +11,7 @@
 };
 
 /**
- * struct order_t - an order, or a version that was rolled back before
+ * struct order_t - an order, or a version that is barred since a former one
  * @handle: its handle
  * @order: the order as last read
  * @key: hash of service and version
--- a/src/rollout/rollouts.c
+++ b/src/rollout/rollouts.c
@@ -126,11 +126,20 @@
 	       order->pending_state == MC_ROLLOUT_ROLLED_BACK;
 }
 
-static void retire_order(mc_rollouts_t *rollouts, order_t *order)
+/* Whether nobody knows yet if the version may take over all requests. */
+static bool is_unproved(const order_t *order)
+{
+	return !order_has_ended(order) && order->mode == MC_ROLLOUT_CANARY;
+}
+
+/* Ends an order that is no longer the service's; its version stays barred with
+ * @is_barred. */
+static void retire_order(mc_rollouts_t *rollouts, order_t *order,
+			 bool is_barred)
 {
 	evidence_drop(rollouts, order->key);
 	rollouts->rules_changed = true;
-	if (was_rolled_back(order)) {
+	if (is_barred) {
 		order->is_current = false;
 		order->mode = MC_ROLLOUT_BARRED;
 		order->has_mode = true;
@@ -195,7 +204,8 @@
 		return MC_OK;
 	}
 	if (current && current != order)
-		retire_order(rollouts, current);
+		retire_order(rollouts, current,
+			     was_rolled_back(current) || is_unproved(current));
 	if (!order) {
 		if (mc_table_add(rollouts->orders, &handle, &slot))
 			return mc_fail(MC_ERR_FULL,
@@ -222,7 +232,7 @@
 	order_t *order = find_current(rollouts, service);
 
 	if (order)
-		retire_order(rollouts, order);
+		retire_order(rollouts, order, was_rolled_back(order));
 }
 
 void mc_rollouts_list_begin(mc_rollouts_t *rollouts)
@@ -243,7 +253,7 @@
 
 	while ((order = mc_table_next(rollouts->orders, &cursor, &handle)))
 		if (order->is_current && !order->listed)
-			retire_order(rollouts, order);
+			retire_order(rollouts, order, was_rolled_back(order));
 }
 
 bool mc_rollouts_has_order(const mc_rollouts_t *rollouts, const char *service,
--- a/tests/system/object_store.h
+++ b/tests/system/object_store.h
@@ -32,6 +32,19 @@
 void object_store_put(object_store_t *store, const char *kind, const char *name,
 		      json_t *spec);
 
+/**
+ * object_store_get_status() - Read a text of an object's status
+ * @store: the store
+ * @kind: kind of the object
+ * @name: name of the object
+ * @key: key of the text
+ * @value: receives the text; "" without one
+ * @size: size of @value, bytes
+ */
+void object_store_get_status(object_store_t *store, const char *kind,
+			     const char *name, const char *key, char *value,
+			     size_t size);
+
 /**
  * object_store_get_state() - Read the "state" of an object's status
  * @store: the store
--- a/tests/system/rollout_test.c
+++ b/tests/system/rollout_test.c
@@ -20,6 +20,8 @@
 	NEW_REPLICAS = 2,
 	/* Numbers of the new version's searchers start here. */
 	NEW_FIRST = 10,
+	/* Number of the searcher of a second new version. */
+	NEXT_NUMBER = 20,
 	DURATION_S = 8,
 	MS_PER_S = 1000,
 	/* Pause between two requests, ms. */
@@ -407,6 +409,43 @@
 	check_rolled_back(rollout);
 }
 
+/*
+ * An order is replaced before its end, and its version turns bad then. It must
+ * get nothing more, as nobody judges it any longer, and the state in the store
+ * must be that of the new order's version.
+ */
+static void test_replaced_order(void **state)
+{
+	rollout_t *rollout = *state;
+	site_t *site = rollout->site;
+	searcher_t *next = searcher_start("single", "dc0", NEXT_NUMBER);
+	char version[STATE_SIZE];
+	uint32_t before;
+
+	start_new_version(rollout, "v2");
+	order(rollout, "v2");
+	register_new_version(rollout, "ready");
+	send_until(rollout, DURATION_S * MS_PER_S / 2);
+	assert_true(exposed(rollout) > 0);
+	searcher_set_version(next, "v3");
+	order(rollout, "v3");
+	searcher_register(next, site->object_store, "ready");
+	harness_sleep(MS_PER_S);
+	before = exposed(rollout);
+	make_bad(rollout, 2);
+	send_until(rollout, DURATION_S * MS_PER_S);
+	print_message("exposed=%u before=%u sent=%u served=%u next=%u\n",
+		      exposed(rollout), before, rollout->sent, rollout->served,
+		      searcher_count_requests(next));
+	assert_int_equal(exposed(rollout), before);
+	assert_true(has_state(rollout, "succeeded"));
+	object_store_get_status(site->object_store, "rollouts", "single",
+				"targetVersion", version, sizeof(version));
+	assert_string_equal(version, "v3");
+	assert_true(searcher_count_requests(next) > 0);
+	searcher_stop(next);
+}
+
 /* A good version has all requests, and the order ends, when its time is over.
  */
 static void test_good(void **state)
@@ -459,6 +498,8 @@
 						tear_down),
 		cmocka_unit_test_setup_teardown(test_second_order, set_up,
 						tear_down),
+		cmocka_unit_test_setup_teardown(test_replaced_order, set_up,
+						tear_down),
 		cmocka_unit_test_setup_teardown(test_good, set_up, tear_down),
 	};
 
--- a/tests/unit/discovery_test.c
+++ b/tests/unit/discovery_test.c
@@ -1139,6 +1139,64 @@
 	assert_int_equal(get_rule_count(fixture), 0);
 }
 
+/* Waits until a version has a rule with a mode. */
+static void wait_mode(fixture_t *fixture, const char *version,
+		      mc_rollout_mode_t mode)
+{
+	mc_ms_t end = mc_clock_now(mc_clock_system()) + WAIT_MS;
+	const mc_registry_view_t *view;
+	bool found = false;
+	uint32_t i;
+
+	while (!found) {
+		assert_true(mc_clock_now(mc_clock_system()) < end);
+		usleep(1000);
+		mc_shard_lock(fixture->shard);
+		view = fixture->view;
+		for (i = 0; view && i < view->rule_count; i++)
+			found = found ||
+				(!strcmp(view->rules[i].version, version) &&
+				 view->rules[i].mode == mode);
+		mc_shard_unlock(fixture->shard);
+	}
+}
+
+/*
+ * An order is replaced by one that goes back to the former version. The version
+ * of the replaced order is barred, so that the other one must get all requests:
+ * with a small share of them the service would have nobody for the rest.
+ */
+static void test_order_back_to_former_version(void **state)
+{
+	fixture_t *fixture = *state;
+	mc_source_record_t records[2] = { target_record("a"),
+					  target_record("b") };
+	mc_source_record_t order = order_record("v2", 44);
+	reply_t targets = {
+		.kind = MC_SOURCE_TARGETS,
+		.result = { .revision = 40,
+			    .record_count = 2,
+			    .records = records },
+	};
+	reply_t orders = {
+		.kind = MC_SOURCE_ROLLOUTS,
+		.result = { .revision = 45,
+			    .record_count = 1,
+			    .records = &order },
+	};
+
+	snprintf(records[0].target.version, MC_REGISTRY_NAME_SIZE, "v1");
+	snprintf(records[1].target.version, MC_REGISTRY_NAME_SIZE, "v2");
+	complete(fixture, &targets);
+	complete(fixture, &orders);
+	wait_mode(fixture, "v2", MC_ROLLOUT_CANARY);
+	order = order_record("v1", 50);
+	orders.result.revision = 50;
+	complete(fixture, &orders);
+	wait_mode(fixture, "v2", MC_ROLLOUT_BARRED);
+	wait_mode(fixture, "v1", MC_ROLLOUT_PREFERRED);
+}
+
 #define DISCOVERY_TEST(test) \
 	cmocka_unit_test_setup_teardown(test, set_up, tear_down)
 #define ORDERS_TEST(test) \
@@ -1165,6 +1223,7 @@
 		ORDERS_TEST(test_known_removal_is_not_repeated),
 		ORDERS_TEST(test_known_return_is_not_repeated),
 		ORDERS_TEST(test_state_written_before_removal),
+		ORDERS_TEST(test_order_back_to_former_version),
 		ORDERS_TEST(test_many_changes),
 	};
 
