rollout: barred versions make room for new orders

After 256 versions that were rolled back, or replaced before their proof, in one process's time, the next order would be ignored, and its version get as many requests as any other.

Cause: versions that stay barred are kept in the table of orders for ever.

Evidence, before the change: unit_rollout many_barred_versions failed: the order after 257 that were rolled back was refused (MC_ERR_FULL).

Change: where there is no room for an order, the version that is barred for longest, by the store's revision, is forgotten.

--- a/src/rollout/include/mc/rollout.h
+++ b/src/rollout/include/mc/rollout.h
@@ -17,7 +17,8 @@
 
 enum {
 	MC_ROLLOUT_NAME_SIZE = 64,
-	/* Most orders, over all services. */
+	/* Most orders, over all services, and versions that stay barred; the
+	 * oldest of these are forgotten where orders need the room. */
 	MC_ROLLOUTS_MAX = 256,
 	/* Most rows of evidence that one instance tells the others. */
 	MC_ROLLOUT_EVIDENCE_MAX = 64,
--- a/src/rollout/rollouts.c
+++ b/src/rollout/rollouts.c
@@ -189,14 +189,47 @@
 	       from->revision != order->order.revision;
 }
 
+/* Returns the version that is barred since the oldest former order, or NULL. */
+static order_t *find_oldest_barred(const mc_rollouts_t *rollouts)
+{
+	uint32_t cursor = 0;
+	mc_handle_t handle;
+	order_t *order, *oldest = NULL;
+
+	while ((order = mc_table_next(rollouts->orders, &cursor, &handle)))
+		if (!order->is_current &&
+		    (!oldest || order->order.revision < oldest->order.revision))
+			oldest = order;
+	return oldest;
+}
+
+/* Returns a new order; where there is no room, the version that is barred for
+ * longest is forgotten. NULL if all room is taken by orders. */
+static order_t *add_order(mc_rollouts_t *rollouts)
+{
+	order_t *oldest, *order;
+	mc_handle_t handle;
+	void *slot;
+
+	if (mc_table_add(rollouts->orders, &handle, &slot)) {
+		oldest = find_oldest_barred(rollouts);
+		if (!oldest)
+			return NULL;
+		mc_table_remove(rollouts->orders, oldest->handle);
+		if (mc_table_add(rollouts->orders, &handle, &slot))
+			return NULL;
+	}
+	order = slot;
+	order->handle = handle;
+	return order;
+}
+
 mc_err_t mc_rollouts_put_order(mc_rollouts_t *rollouts,
 			       const mc_rollout_order_t *from, mc_ms_t now)
 {
 	order_t *current = find_current(rollouts, from->service);
 	order_t *order = order_find(rollouts, from->service, from->version);
 	uint64_t former = former_revision(from, current, order);
-	mc_handle_t handle;
-	void *slot;
 
 	if (is_outdated(from, current, order)) {
 		if (current)
@@ -207,13 +240,11 @@
 		retire_order(rollouts, current,
 			     was_rolled_back(current) || is_unproved(current));
 	if (!order) {
-		if (mc_table_add(rollouts->orders, &handle, &slot))
+		order = add_order(rollouts);
+		if (!order)
 			return mc_fail(MC_ERR_FULL,
 				       "no room for the order of service %s",
 				       from->service);
-		order = slot;
-		order->handle = handle;
-		order->key = rollout_key(from->service, from->version);
 		begin_order(rollouts, order, from, former, now);
 		if (order_has_ended(order))
 			order->settled_until = now + SETTLE_MS;
--- a/tests/unit/rollout_test.c
+++ b/tests/unit/rollout_test.c
@@ -391,6 +391,32 @@
 	mc_rollouts_destroy(rollouts);
 }
 
+/* Versions that stay barred take up all room in the course of time: a new order
+ * must find some, or its version has no rule. */
+static void test_many_barred_versions(void **state)
+{
+	mc_rollouts_t *rollouts = mc_rollouts_create("a", share);
+	mc_rollout_order_t order;
+	char version[16];
+	int i;
+
+	(void)state;
+	for (i = 0; i <= MC_ROLLOUTS_MAX; i++) {
+		snprintf(version, sizeof(version), "v%d", i);
+		order = make_order(version, 10 + (uint64_t)i);
+		order.state = MC_ROLLOUT_ROLLED_BACK;
+		mc_rollouts_put_order(rollouts, &order, i);
+	}
+	put_order(rollouts, "next", 1000, 1000);
+	tick(rollouts, 1000);
+	assert_true(mc_rollouts_has_order(rollouts, "s", "next"));
+	/* The oldest ones are forgotten. */
+	assert_false(mc_rollouts_has_order(rollouts, "s", "v0"));
+	assert_false(mc_rollouts_has_order(rollouts, "s", "v1"));
+	assert_true(mc_rollouts_has_order(rollouts, "s", "v2"));
+	mc_rollouts_destroy(rollouts);
+}
+
 /* An instance that starts in the middle learns the start of the order, the
  * evidence and a rejection from the others. */
 static void test_late_instance(void **state)
@@ -465,6 +491,7 @@
 		cmocka_unit_test(test_evidence_of_replaced_order),
 		cmocka_unit_test(test_ordered_again_in_time),
 		cmocka_unit_test(test_unproved_version_is_replaced),
+		cmocka_unit_test(test_many_barred_versions),
 		cmocka_unit_test(test_late_instance),
 		cmocka_unit_test(test_bad_on_one_route),
 		cmocka_unit_test(test_order_before_targets),
