--- a/src/rollout/rollouts.c
+++ b/src/rollout/rollouts.c
@@ -126,11 +126,20 @@
 	       order->pending_state == MC_ROLLOUT_ROLLED_BACK;
 }
 
-static void retire_order(mc_rollouts_t *rollouts, order_t *order)
+/* Whether nobody knows yet if the version may take over all requests. */
+static bool is_unproved(const order_t *order)
+{
+	return !order_has_ended(order) && order->mode == MC_ROLLOUT_CANARY;
+}
+
+/* Ends an order that is no longer the service's; its version stays barred with
+ * @is_barred. */
+static void retire_order(mc_rollouts_t *rollouts, order_t *order,
+			 bool is_barred)
 {
 	evidence_drop(rollouts, order->key);
 	rollouts->rules_changed = true;
-	if (was_rolled_back(order)) {
+	if (is_barred) {
 		order->is_current = false;
 		order->mode = MC_ROLLOUT_BARRED;
 		order->has_mode = true;
@@ -180,14 +189,47 @@
 	       from->revision != order->order.revision;
 }
 
+/* Returns the version that is barred since the oldest former order, or NULL. */
+static order_t *find_oldest_barred(const mc_rollouts_t *rollouts)
+{
+	uint32_t cursor = 0;
+	mc_handle_t handle;
+	order_t *order, *oldest = NULL;
+
+	while ((order = mc_table_next(rollouts->orders, &cursor, &handle)))
+		if (!order->is_current &&
+		    (!oldest || order->order.revision < oldest->order.revision))
+			oldest = order;
+	return oldest;
+}
+
+/* Returns a new order; where there is no room, the version that is barred for
+ * longest is forgotten. NULL if all room is taken by orders. */
+static order_t *add_order(mc_rollouts_t *rollouts)
+{
+	order_t *oldest, *order;
+	mc_handle_t handle;
+	void *slot;
+
+	if (mc_table_add(rollouts->orders, &handle, &slot)) {
+		oldest = find_oldest_barred(rollouts);
+		if (!oldest)
+			return NULL;
+		mc_table_remove(rollouts->orders, oldest->handle);
+		if (mc_table_add(rollouts->orders, &handle, &slot))
+			return NULL;
+	}
+	order = slot;
+	order->handle = handle;
+	return order;
+}
+
 mc_err_t mc_rollouts_put_order(mc_rollouts_t *rollouts,
 			       const mc_rollout_order_t *from, mc_ms_t now)
 {
 	order_t *current = find_current(rollouts, from->service);
 	order_t *order = order_find(rollouts, from->service, from->version);
 	uint64_t former = former_revision(from, current, order);
-	mc_handle_t handle;
-	void *slot;
 
 	if (is_outdated(from, current, order)) {
 		if (current)
@@ -195,15 +237,14 @@
 		return MC_OK;
 	}
 	if (current && current != order)
-		retire_order(rollouts, current);
+		retire_order(rollouts, current,
+			     was_rolled_back(current) || is_unproved(current));
 	if (!order) {
-		if (mc_table_add(rollouts->orders, &handle, &slot))
+		order = add_order(rollouts);
+		if (!order)
 			return mc_fail(MC_ERR_FULL,
 				       "no room for the order of service %s",
 				       from->service);
-		order = slot;
-		order->handle = handle;
-		order->key = rollout_key(from->service, from->version);
 		begin_order(rollouts, order, from, former, now);
 		if (order_has_ended(order))
 			order->settled_until = now + SETTLE_MS;
@@ -222,7 +263,7 @@
 	order_t *order = find_current(rollouts, service);
 
 	if (order)
-		retire_order(rollouts, order);
+		retire_order(rollouts, order, was_rolled_back(order));
 }
 
 void mc_rollouts_list_begin(mc_rollouts_t *rollouts)
@@ -243,7 +284,7 @@
 
 	while ((order = mc_table_next(rollouts->orders, &cursor, &handle)))
 		if (order->is_current && !order->listed)
-			retire_order(rollouts, order);
+			retire_order(rollouts, order, was_rolled_back(order));
 }
 
 bool mc_rollouts_has_order(const mc_rollouts_t *rollouts, const char *service,
