--- a/tests/unit/h1_framing_test.c
+++ b/tests/unit/h1_framing_test.c
@@ -31,6 +31,7 @@
 #define POST "POST /a HTTP/1.1\r\n" HOST
 #define CHUNKED "Transfer-Encoding: chunked\r\n"
 #define OK "HTTP/1.1 200 OK\r\n"
+#define NOT_MODIFIED "HTTP/1.1 304 Not Modified\r\n"
 
 static const char *const refused_requests[] = {
 	/* Content-Length */
@@ -334,8 +335,8 @@
 static void test_statuses_without_body(void **state)
 {
 	static const char *const heads[] = {
-		"HTTP/1.1 304 Not Modified\r\nContent-Length: 16\r\n\r\n",
-		"HTTP/1.1 304 Not Modified\r\n" CHUNKED "\r\n",
+		NOT_MODIFIED "Content-Length: 16\r\n\r\n",
+		NOT_MODIFIED CHUNKED "\r\n",
 		"HTTP/1.1 204 No Content\r\nContent-Length: 16\r\n\r\n",
 		"HTTP/1.1 103 Early Hints\r\nContent-Length: 16\r\n\r\n",
 		"HTTP/1.1 204 No Content\r\n\r\n",
