tests: what fronts learn from a stopping gather

Whether a gather that stops leaves its fronts without an answer was open, as it ignores the time by which a shutdown needs all answers. It need not know it: targets have no owner here as soon as it leaves, so sub-queries that wait are refused as not run at once; when the process ends its links close, and fronts take sub-queries at targets as possibly run, send them to other replicas, and report runs as outcome_unknown.

--- a/tests/system/front_stop_test.c
+++ b/tests/system/front_stop_test.c
@@ -154,6 +154,34 @@
 	assert_int_equal(harness_stop(cluster->harness, front, 0), 0);
 }
 
+static bool refuses_connections(void *ctx)
+{
+	const cluster_instance_t *instance = ctx;
+	int fd = raw_connect_address(instance->caller_address);
+
+	if (fd >= 0)
+		close(fd);
+	return fd < 0;
+}
+
+/* SIGINT comes when the front has stopped accepting connections already. */
+static void test_answers_when_interrupted_late(void **state)
+{
+	cluster_t *cluster = *state;
+	mc_handle_t front;
+	requests_t requests;
+
+	start_slow_cluster(cluster);
+	front = cluster->instances[0].front;
+	start_requests_in_flight(&requests, cluster);
+	harness_signal(cluster->harness, front, SIGTERM);
+	harness_wait_until("front refuses connections", refuses_connections,
+			   &cluster->instances[0]);
+	harness_signal(cluster->harness, front, SIGINT);
+	check_outcomes_unknown(&requests);
+	assert_int_equal(harness_stop(cluster->harness, front, 0), 0);
+}
+
 static int connect_front(const cluster_instance_t *instance)
 {
 	int fd = raw_connect_address(instance->caller_address);
@@ -254,6 +282,7 @@
 	const struct CMUnitTest tests[] = {
 		FRONT_STOP_TEST(test_answers_at_end_of_grace_period),
 		FRONT_STOP_TEST(test_answers_when_interrupted),
+		FRONT_STOP_TEST(test_answers_when_interrupted_late),
 		FRONT_STOP_TEST(test_refuses_unclaimed_run),
 		FRONT_STOP_TEST(test_answers_late_search),
 	};
