soak: late first requests, idle connections and stalls around a stop

Callers of the kind late wait before their first request; those that keep connections now and then pause for longer than a notice period, which finds idle connections only if the idle time-out is longer too: it is with even seeds. Every second stop has a stall at the end of its notice period. A request counts as arrived for every kind of caller if its connection ended 2 ms after it was sent or later.

--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -170,7 +170,8 @@
 	snprintf(name, sizeof(name), "soak-%llu",
 		 (unsigned long long)soak_seed);
 	soak->site = site_create(name, 0);
-	soak->site->idle_timeout = SOAK_IDLE_TIMEOUT_MS;
+	soak->site->idle_timeout = soak->seed % 2 ? SOAK_IDLE_TIMEOUT_MS
+						  : SOAK_LONG_IDLE_TIMEOUT_MS;
 	site_put_config(soak->site, NULL);
 	for (i = 0; i < SITE_SHARDS; i++)
 		for (j = 0; j < SITE_REPLICAS; j++)
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -18,9 +18,11 @@
 	SOAK_SEARCHERS = SITE_SHARDS * SITE_REPLICAS + SITE_SINGLE_REPLICAS,
 	/* Deadline of requests that don't take long, ms. */
 	SOAK_DEADLINE_MS = 1500,
-	/* idleTimeoutMs of the configuration: short, so that connections reach
-	 * it in a short run. */
+	/* idleTimeoutMs of the configuration, with odd and with even seeds:
+	 * shorter than the notice period, so that connections reach it in a
+	 * short run, or longer, so that a stop finds idle connections. */
 	SOAK_IDLE_TIMEOUT_MS = 400,
+	SOAK_LONG_IDLE_TIMEOUT_MS = 3000,
 	SOAK_REFUSED_IDS_MAX = 200000,
 	SOAK_CALLS_MAX = 64,
 	SOAK_CALLER_KINDS_MAX = 16,
--- a/tests/soak/soak_callers.c
+++ b/tests/soak/soak_callers.c
@@ -19,6 +19,11 @@
 	REQUESTS_PER_CONNECTION_MAX = 20,
 	/* Pause between two requests on a connection that is kept, ms. */
 	PAUSE_MAX_MS = 30,
+	/* One of so many pauses is longer than a notice period, at most ms. */
+	LONG_PAUSE_INTERVAL = 10,
+	LONG_PAUSE_MAX_MS = 3 * SITE_NOTICE_MS,
+	/* Pause before the first request, less than the idle time-out, ms. */
+	FIRST_PAUSE_MAX_MS = SOAK_IDLE_TIMEOUT_MS * 3 / 4,
 	/* How far from the idle time-out a request is sent, ms. */
 	IDLE_SPREAD_MS = 2,
 	/* Time after which a caller may leave, ms. */
@@ -71,9 +76,6 @@
 	int receive_buffer;
 	/* Pause after each byte of a response, us. */
 	uint32_t byte_pause;
-	/* A request that has arrived must be answered however soon the
-	 * connection ends. */
-	bool checks_arrival;
 	/* Closes the connection with a reset half of the time. */
 	bool resets;
 };
@@ -108,8 +110,7 @@
 		.is_first = batch->is_first,
 		.was_reset = caller->conn.was_reset,
 		.is_behind_answer = behind_answer,
-		.has_arrived = caller->kind->checks_arrival &&
-			       !batch->had_ended &&
+		.has_arrived = !batch->had_ended &&
 			       now - batch->sent_at >= ARRIVAL_MARGIN_MS,
 		.has_begun = caller->conn.used > 0,
 	};
@@ -213,7 +214,18 @@
 {
 	while (!soak_is_stopping(caller->soak) &&
 	       exchange_one(caller, random_path(caller)))
-		pause_caller(caller, PAUSE_MAX_MS);
+		pause_caller(caller, mc_random_below(&caller->random,
+						     LONG_PAUSE_INTERVAL)
+					     ? PAUSE_MAX_MS
+					     : LONG_PAUSE_MAX_MS);
+}
+
+/* Sends the first request some time after the instance has accepted the
+ * connection. */
+static void use_after_pause(caller_t *caller)
+{
+	pause_caller(caller, FIRST_PAUSE_MAX_MS);
+	exchange_one(caller, random_path(caller));
 }
 
 /* Sends each request at about the time at which the instance closes the
@@ -222,7 +234,8 @@
 {
 	while (!soak_is_stopping(caller->soak) &&
 	       exchange_one(caller, random_path(caller))) {
-		harness_sleep(SOAK_IDLE_TIMEOUT_MS - IDLE_SPREAD_MS);
+		harness_sleep(caller->soak->site->idle_timeout -
+			      IDLE_SPREAD_MS);
 		usleep(mc_random_below(&caller->random,
 				       2 * IDLE_SPREAD_MS * US_PER_MS));
 	}
@@ -298,20 +311,15 @@
 	  .use = use_until_end,
 	  .receive_buffer = SLOW_RECEIVE_BUFFER,
 	  .byte_pause = SLOW_BYTE_PAUSE_US },
+	{ .name = "late", .enabled = true, .use = use_after_pause },
 	{ .name = "head", .enabled = true, .use = use_for_head },
 	{ .name = "leave",
 	  .enabled = true,
 	  .use = use_and_leave,
 	  .resets = true },
-	{ .name = "half_close",
-	  .enabled = false,
-	  .use = use_half_closed,
-	  .checks_arrival = true },
+	{ .name = "half_close", .enabled = false, .use = use_half_closed },
 	{ .name = "pipeline", .enabled = false, .use = use_pipelined },
-	{ .name = "idle",
-	  .enabled = false,
-	  .use = use_after_idle_time,
-	  .checks_arrival = true },
+	{ .name = "idle", .enabled = false, .use = use_after_idle_time },
 	{ .name = "long", .enabled = false, .use = use_for_long },
 };
 
--- a/tests/soak/soak_faults.c
+++ b/tests/soak/soak_faults.c
@@ -16,6 +16,9 @@
 	SERIES_TIME_MS = 3000,
 	/* Longest pause of an instance that is stopping, ms. */
 	STOP_PAUSE_MAX_MS = 600,
+	/* Time before the end of the notice period in which a stall begins, so
+	 * that requests are waiting when the period ends, ms. */
+	NOTICE_END_MS = 60,
 	/* Delay of the next instance's stop, ms. */
 	NEXT_STOP_MAX_MS = 1500,
 	/* One of so many stops comes together with a new configuration. */
@@ -147,6 +150,11 @@
 	uint32_t left = mc_random_below(&soak->random, SERIES_MAX + 1);
 
 	instances_stop(soak, index);
+	if (mc_random_below(&soak->random, 2))
+		soak_schedule(soak,
+			      SITE_NOTICE_MS - mc_random_below(&soak->random,
+							       NOTICE_END_MS),
+			      instances_stall, index);
 	if (!mc_random_below(&soak->random, CHANGE_INTERVAL))
 		site_put_config(soak->site, NULL);
 	while (left--)
--- a/tests/soak/soak_lost.c
+++ b/tests/soak/soak_lost.c
@@ -172,7 +172,7 @@
 		return false;
 	if (cut->ended_at - cut->sent_at > CROSSING_MAX_MS)
 		return false;
-	if (cut->idle >= SOAK_IDLE_TIMEOUT_MS - CLOCK_MARGIN_MS)
+	if (cut->idle >= soak->site->idle_timeout - CLOCK_MARGIN_MS)
 		return true;
 	return is_disrupted(soak, cut, SOAK_DISRUPTION_STOPPING,
 			    cut->instance) &&
