soak: connections that ended before a request was sent

In each case the fault list shows that the instance was killed and started again during the pause; the connection had ended before the request was sent, which the generator knew but didn't judge by.

--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -111,6 +111,7 @@
  * @idle: how long the instance may have been without a request on the
  *connection when this one was sent, at most, ms
  * @is_first: no request was sent on the connection before
+ * @had_ended: the connection had ended when the last byte was sent
  * @was_reset: the connection ended with a TCP reset
  * @is_behind_answer: it was in one write with an earlier request, which was
  *	answered
@@ -126,6 +127,7 @@
 	mc_ms_t deadline;
 	mc_ms_t idle;
 	bool is_first;
+	bool had_ended;
 	bool was_reset;
 	bool is_behind_answer;
 	bool has_arrived;
