--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -18,9 +18,11 @@
 	SOAK_SEARCHERS = SITE_SHARDS * SITE_REPLICAS + SITE_SINGLE_REPLICAS,
 	/* Deadline of requests that don't take long, ms. */
 	SOAK_DEADLINE_MS = 1500,
-	/* idleTimeoutMs of the configuration: short, so that connections reach
-	 * it in a short run. */
+	/* idleTimeoutMs of the configuration, with odd and with even seeds:
+	 * shorter than the notice period, so that connections reach it in a
+	 * short run, or longer, so that a stop finds idle connections. */
 	SOAK_IDLE_TIMEOUT_MS = 400,
+	SOAK_LONG_IDLE_TIMEOUT_MS = 3000,
 	SOAK_REFUSED_IDS_MAX = 200000,
 	SOAK_CALLS_MAX = 64,
 	SOAK_CALLER_KINDS_MAX = 16,
@@ -109,6 +111,7 @@
  * @idle: how long the instance may have been without a request on the
  *connection when this one was sent, at most, ms
  * @is_first: no request was sent on the connection before
+ * @had_ended: the connection had ended when the last byte was sent
  * @was_reset: the connection ended with a TCP reset
  * @is_behind_answer: it was in one write with an earlier request, which was
  *	answered
@@ -124,6 +127,7 @@
 	mc_ms_t deadline;
 	mc_ms_t idle;
 	bool is_first;
+	bool had_ended;
 	bool was_reset;
 	bool is_behind_answer;
 	bool has_arrived;
