--- a/src/runtime/include/mc/runtime.h
+++ b/src/runtime/include/mc/runtime.h
@@ -3,8 +3,8 @@
  * has a control shard and a fixed number of data shards; the role of the
  * process keeps a state for each data shard. The runtime runs until SIGTERM or
  * SIGINT and then shuts down gracefully: it stops when no request is in flight
- * any more, or when the grace period ends. Each request that it has read gets an
- * answer: those still in flight shortly before the end get an error.
+ * any more, or when the grace period ends. Each request that it has read gets
+ * an answer: those still in flight shortly before the end get an error.
  */
 #ifndef MC_RUNTIME_H
 #define MC_RUNTIME_H
