runtime: a pause doesn't end the notice period of a shutdown

What callers saw: an instance that was stopped and continued (SIGSTOP, SIGCONT) during its notice period refused connections from then on, while the balancer still sent callers to it.

Cause: a wait for a signal that is interrupted returns early, and that was taken for the end of the wait. Found by the review.

Change: the wait goes on until its time is over, whatever ends it early.

--- a/src/runtime/shutdown.c
+++ b/src/runtime/shutdown.c
@@ -141,12 +141,13 @@
 	mc_ms_t end = mc_clock_now(clock) + wait;
 	int caught;
 
+	/* A wait also ends early when the process was paused. */
 	do {
 		caught = runtime_wait_signal(stop->signals,
 					     end - mc_clock_now(clock));
 		if (caught)
 			log_signal(stop, caught);
-	} while (caught && caught != SIGINT && mc_clock_now(clock) < end);
+	} while (caught != SIGINT && mc_clock_now(clock) < end);
 	return caught == SIGINT;
 }
 
--- a/tests/system/stop_test.c
+++ b/tests/system/stop_test.c
@@ -24,6 +24,8 @@
 	NOTICE_MS = 1000,
 	/* Longer than NOTICE_MS, shorter than SITE_GRACE_MS, ms. */
 	PAUSE_MS = 1300,
+	/* Much shorter than NOTICE_MS, ms. */
+	SHORT_PAUSE_MS = 50,
 	/* Longer than SITE_GRACE_MS, ms. */
 	LONG_PAUSE_MS = 3500,
 	/* As many slow requests as the searchers have slots, and the time that
@@ -202,6 +204,41 @@
 	return fd < 0;
 }
 
+static void read_log(const site_t *site, char *text, size_t size)
+{
+	char path[LOG_PATH_SIZE];
+	size_t used;
+	FILE *file;
+
+	snprintf(path, sizeof(path), "%s/tier-0.log",
+		 harness_output_dir(site->harness));
+	file = fopen(path, "r");
+	assert_non_null(file);
+	used = fread(text, 1, size - 1, file);
+	text[used] = '\0';
+	fclose(file);
+}
+
+/* A pause during the notice period doesn't end that period. */
+static void test_notice_after_pause(void **state)
+{
+	static const char event[] = "\"no further work is accepted\" ms=";
+	site_t *site = *state;
+	mc_handle_t process = site->instances[0].process;
+	char *text = calloc(1, LOG_SIZE);
+	const char *line;
+
+	begin_stop_and_pause(site);
+	harness_sleep(SHORT_PAUSE_MS);
+	harness_signal(site->harness, process, SIGCONT);
+	assert_int_equal(harness_stop(site->harness, process, 0), 0);
+	read_log(site, text, LOG_SIZE);
+	line = strstr(text, event);
+	assert_non_null(line);
+	assert_true(strtol(line + strlen(event), NULL, 10) >= NOTICE_MS);
+	free(text);
+}
+
 /* A caller that connected before the instance stopped accepting connections
  * gets an answer to its first request. */
 static void test_answers_first_request(void **state)
@@ -382,21 +419,6 @@
 	close_connections(fds);
 }
 
-static void read_log(const site_t *site, char *text, size_t size)
-{
-	char path[LOG_PATH_SIZE];
-	size_t used;
-	FILE *file;
-
-	snprintf(path, sizeof(path), "%s/tier-0.log",
-		 harness_output_dir(site->harness));
-	file = fopen(path, "r");
-	assert_non_null(file);
-	used = fread(text, 1, size - 1, file);
-	text[used] = '\0';
-	fclose(file);
-}
-
 /*
  * A process that ends by a fault has only its log to explain it: the log names
  * the signal, and the platform learns of the signal too.
@@ -422,6 +444,7 @@
 	const struct CMUnitTest tests[] = {
 		STOP_TEST(test_answers_accepted_requests),
 		STOP_TEST(test_answers_after_grace_period),
+		STOP_TEST(test_notice_after_pause),
 		STOP_TEST(test_answers_first_request),
 		STOP_TEST(test_repeated_signals),
 		STOP_TEST(test_answers_at_end_of_grace_period),
