runtime: SIGINT that comes again doesn't cut off the last answers

What callers saw: with a second SIGINT during a stop, requests in flight ended with a closed connection.

Cause: the time for the last answers ended with the next SIGINT, before the data shards had their turn.

Change: once a stop is interrupted, further signals are logged and have no effect.

--- a/src/runtime/shutdown.c
+++ b/src/runtime/shutdown.c
@@ -237,9 +237,10 @@
 
 /* When the process ends at the latest, ms. One that was held up beyond that
  * time still gets some for its answers. */
-static mc_ms_t latest_end(mc_ms_t planned)
+static mc_ms_t latest_end(const mc_runtime_params_t *params, mc_ms_t planned)
 {
-	mc_ms_t least = mc_clock_now(mc_clock_system()) + ANSWER_RESERVE_MS;
+	mc_ms_t least = mc_clock_now(mc_clock_system()) +
+			reserved(params, ANSWER_RESERVE_MS);
 
 	return planned > least ? planned : least;
 }
@@ -259,17 +260,18 @@
 		return STOP_INTERRUPTED;
 	log_work(stop, "no further work is accepted");
 	post_to_all(runtime, run_stop_accepting, 0);
-	return finish_work(stop, latest_end(end));
+	return finish_work(stop, latest_end(params, end));
 }
 
-/* Answers what is in flight at once. */
+/* Answers what is in flight at once. Further signals have no effect. */
 static void interrupt_work(const shutdown_t *stop)
 {
-	mc_ms_t now = mc_clock_now(mc_clock_system());
+	mc_ms_t end = latest_end(&stop->runtime->params, 0);
 
-	post_to_all(stop->runtime, run_drain, now);
+	post_to_all(stop->runtime, run_drain, mc_clock_now(mc_clock_system()));
 	post_to_all(stop->runtime, run_stop_accepting, 0);
-	finish_work(stop, now + ANSWER_RESERVE_MS);
+	while (finish_work(stop, end) == STOP_INTERRUPTED)
+		;
 }
 
 void shutdown_run(mc_runtime_t *runtime, const sigset_t *signals)
--- a/tests/unit/runtime_test.c
+++ b/tests/unit/runtime_test.c
@@ -22,6 +22,8 @@
 	/* For how long a shard is held up, longer than the runtime waits before
 	 * it first asks for unfinished work, ms. */
 	HOLD_MS = 200,
+	/* Shorter than the time for the last answers, ms. */
+	SHORT_HOLD_MS = 30,
 	/* For how long connections that are accepted last take, ms. */
 	WORK_MS = 100,
 };
@@ -41,6 +43,8 @@
 	mc_ms_t main_hold;
 	/* For how long the data shards are, ms. */
 	mc_ms_t shard_hold;
+	/* Each data shard sends SIGINT when it is told of a shutdown. */
+	bool interrupts;
 } role_t;
 
 /* State of a data shard. */
@@ -89,6 +93,8 @@
 	mc_shard_t *shard = state->role->shards[state->index].shard;
 
 	state->role->shards[state->index].answer_by = answer_by;
+	if (state->role->interrupts)
+		kill(getpid(), SIGINT);
 	mc_shard_unlock(shard);
 	usleep((useconds_t)state->role->shard_hold * 1000);
 	mc_shard_lock(shard);
@@ -197,12 +203,23 @@
 	assert_true(mc_clock_now(mc_clock_system()) < start + END_MS);
 }
 
+/* SIGINT comes again while the last answers are sent: the shards still get
+ * their time for them. */
+static void test_interrupted_again(void **state)
+{
+	role_t role = { .shard_hold = SHORT_HOLD_MS, .interrupts = true };
+
+	(void)state;
+	run_and_check(&role, GRACE_MS, LONG_NOTICE_MS);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_waits_for_last_connections),
 		cmocka_unit_test(test_held_up_beyond_grace_period),
 		cmocka_unit_test(test_long_notice_period),
+		cmocka_unit_test(test_interrupted_again),
 	};
 
 	if (mc_net_init())
