h1: a request in flight outlives an idle time-out of 0

What callers saw: with idleTimeoutMs 0 in the configuration, connections with a request in flight were closed, and the process could crash, as the tier went on with the message of a connection that was gone (heap-use-after-free, seen by the review with AddressSanitizer).

Cause: the check of time-outs fell through to the end of the connection when the next time-out was due at once.

Change: a connection with a request in flight has no time-out of its own; the least idle time-out is 10 ms.

Measured: test_no_idle_time fails before (no connection to respond on; the test program then doesn't end, as it holds the lock) and passes 3 of 3.

--- a/src/h1/include/mc/h1.h
+++ b/src/h1/include/mc/h1.h
@@ -79,7 +79,8 @@
  * @head_bytes_max: most bytes of a request's head
  * @body_bytes_max: most bytes of a request's body
  * @request_timeout: longest time from a request's first byte to its last, ms
- * @idle_timeout: longest time between two requests of a connection, ms
+ * @idle_timeout: longest time between two requests of a connection, and without
+ *	progress of a response, ms; at least 10
  */
 typedef struct mc_h1_limits_t {
 	size_t head_bytes_max;
--- a/src/h1/listen.c
+++ b/src/h1/listen.c
@@ -10,6 +10,9 @@
 enum {
 	/* Pause after a failure to accept, as without descriptors, ms. */
 	ACCEPT_RETRY_MS = 100,
+	/* Least idle time-out; timers that are set to now would fire again and
+	 * again. */
+	IDLE_TIMEOUT_MIN_MS = 10,
 };
 
 static void resume_accepting(mc_shard_t *shard, void *arg)
@@ -73,6 +76,8 @@
 void mc_h1_set_limits(mc_h1_t *h1, const mc_h1_limits_t *limits)
 {
 	h1->limits = *limits;
+	if (h1->limits.idle_timeout < IDLE_TIMEOUT_MIN_MS)
+		h1->limits.idle_timeout = IDLE_TIMEOUT_MIN_MS;
 }
 
 void mc_h1_start_draining(mc_h1_t *h1)
--- a/src/h1/server.c
+++ b/src/h1/server.c
@@ -164,10 +164,11 @@
 	server_conn_t *conn = arg;
 	mc_ms_t now = mc_shard_now(shard);
 
+	/* The request in flight has a deadline of its own. */
 	if (conn->state == CONN_HANDLING ||
 	    (now >= conn->expires_at && makes_progress(conn)))
 		await_progress(conn);
-	if (now < conn->expires_at) {
+	if (conn->state == CONN_HANDLING || now < conn->expires_at) {
 		set_timer(conn, conn->expires_at);
 		return;
 	}
--- a/tests/unit/h1_test.c
+++ b/tests/unit/h1_test.c
@@ -598,6 +598,26 @@
 	free((char *)fixture->body);
 }
 
+/* A configuration may name no idle time-out at all. A request in flight
+ * outlives it. */
+static void test_no_idle_time(void **state)
+{
+	fixture_t *fixture = *state;
+	char text[TEXT_SIZE];
+	int fd;
+
+	set_idle_timeout(fixture, 0);
+	fixture->hold_responses = true;
+	fd = connect_to(fixture->port);
+	send_text(fd, "GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+	wait_for(fixture, &fixture->requests, 1);
+	usleep(HOLD_MS * 1000);
+	respond_to_held_request(fixture);
+	read_until(fd, text, "done", 1);
+	assert_non_null(strstr(text, "done"));
+	close(fd);
+}
+
 static uint64_t count_failed_accepts(fixture_t *fixture)
 {
 	uint64_t count;
@@ -806,6 +826,7 @@
 		H1_TEST(test_half_closed),
 		H1_TEST(test_draining),
 		H1_TEST(test_request_at_idle_timeout),
+		H1_TEST(test_no_idle_time),
 		H1_TEST(test_out_of_descriptors),
 		H1_TEST(test_peer_does_not_read),
 		H1_TEST(test_client_responses),
