discovery: the log says when a target's removal is ignored

"target leaving: entry removed or invalid" was written for each removal, also since the registry ignores one that is older than the known entry, and for targets that it doesn't know. The registry says whether it applied it, the line says so with the revision, and unit_registry clock_set_back checks the return.

--- a/src/discovery/include/mc/source.h
+++ b/src/discovery/include/mc/source.h
@@ -70,10 +70,10 @@
  * struct mc_source_result_t - Result of a call
  * @err: MC_OK; for a watch, MC_ERR_HISTORY_GONE: the store no longer has the
  *	changes, or MC_ERR_TOO_LARGE: they are more than a response may have;
- *	the kind must be listed again; for a registration, MC_ERR_CONFLICT: a
- *record of that name exists and is in @records; for the state of a roll-out,
- *MC_ERR_CONFLICT: the order has changed and is in @records, as it is after
- *MC_OK; MC_ERR_STORE_UNAVAILABLE with a last message
+ *	the kind must be listed again. For a registration, MC_ERR_CONFLICT: a
+ *	record of that name exists and is in @records; for the state of a
+ *	roll-out, MC_ERR_CONFLICT: the order has changed and is in @records, as
+ *	it is after MC_OK. MC_ERR_STORE_UNAVAILABLE with a last message
  * @revision: revision of the store up to which @records are complete
  * @has_more: a list has further records after the name of the last one
  * @record_count: number of @records
--- a/src/discovery/records.c
+++ b/src/discovery/records.c
@@ -49,21 +49,29 @@
 	       mc_routemap_service_count(record->map));
 }
 
+static void remove_target(mc_discovery_t *discovery,
+			  const mc_source_record_t *record, mc_ms_t at)
+{
+	bool is_leaving = mc_registry_remove_target(
+		discovery->registry, record->name, record->revision, at);
+
+	mc_log(mc_shard_log(discovery->params.shard), MC_LOG_INFO, "follow",
+	       "%s target=%s revision=%llu",
+	       is_leaving ? "target leaving: entry removed or invalid"
+			  : "removal ignored: target unknown or written since",
+	       record->name, (unsigned long long)record->revision);
+}
+
 static void apply_target(mc_discovery_t *discovery,
 			 const mc_source_record_t *record, mc_ms_t at)
 {
 	const mc_target_entry_t *entry = &record->target;
 	mc_ms_t now = mc_shard_now(discovery->params.shard);
 
+	if (record->decode_error)
+		discovery_log_invalid(discovery, "target", record);
 	if (record->removed || record->decode_error) {
-		if (record->decode_error)
-			discovery_log_invalid(discovery, "target", record);
-		mc_registry_remove_target(discovery->registry, record->name,
-					  record->revision, at);
-		mc_log(mc_shard_log(discovery->params.shard), MC_LOG_INFO,
-		       "follow",
-		       "target leaving: entry removed or invalid target=%s",
-		       record->name);
+		remove_target(discovery, record, at);
 		return;
 	}
 	/* The order of a roll-out says what the version may get. */
--- a/src/registry/include/mc/registry.h
+++ b/src/registry/include/mc/registry.h
@@ -97,8 +97,10 @@
  * The target is kept, marked as leaving, for MC_REGISTRY_REMOVAL_GRACE_MS: it
  * may still serve, and where its entry only expired in an outage of the store,
  * it registers again.
+ *
+ * Return: whether the target is leaving; false if it was ignored.
  */
-void mc_registry_remove_target(mc_registry_t *registry, const char *id,
+bool mc_registry_remove_target(mc_registry_t *registry, const char *id,
 			       uint64_t revision, mc_ms_t now);
 
 /** mc_registry_list_begin() - Begin a full list of entries */
--- a/src/registry/registry.c
+++ b/src/registry/registry.c
@@ -174,28 +174,29 @@
 	return MC_OK;
 }
 
-static void begin_removal(mc_registry_t *registry, record_t *record,
+/* Returns false if the entry is later than the removal, which is ignored. */
+static bool begin_removal(mc_registry_t *registry, record_t *record,
 			  uint64_t revision, mc_ms_t now)
 {
 	if (!revision)
 		revision = record->revision;
 	if (revision < record->revision)
-		return;
+		return false;
 	if (record->removed_revision < revision)
 		record->removed_revision = revision;
 	if (record->remove_at != MC_MS_NEVER)
-		return;
+		return true;
 	record->remove_at = now + MC_REGISTRY_REMOVAL_GRACE_MS;
 	registry->changed = true;
+	return true;
 }
 
-void mc_registry_remove_target(mc_registry_t *registry, const char *id,
+bool mc_registry_remove_target(mc_registry_t *registry, const char *id,
 			       uint64_t revision, mc_ms_t now)
 {
 	record_t *record = find_target(registry, id);
 
-	if (record)
-		begin_removal(registry, record, revision, now);
+	return record && begin_removal(registry, record, revision, now);
 }
 
 void mc_registry_list_begin(mc_registry_t *registry)
--- a/tests/unit/registry_test.c
+++ b/tests/unit/registry_test.c
@@ -179,7 +179,7 @@
 	mc_registry_view_unref(view);
 	/* What is read late of the former one changes nothing. */
 	put_target_at(registry, draining, 21, 60000);
-	mc_registry_remove_target(registry, "a", 21, 60000);
+	assert_false(mc_registry_remove_target(registry, "a", 21, 60000));
 	expect_target(registry, 60000, true, false);
 	/* The new one's own notice does. */
 	cold.draining = true;
