gather, front: contexts of calls in flight end with their process

What was seen: under LeakSanitizer a front or gather that ends its grace period with calls to targets or to the store in flight exits with status 1. Callers see nothing of it.

Cause: the context of a call was allocated on its own and freed by the call's handler, which is not run for calls that the end of the process cancels.

Change: contexts are records of tables, as all other state is, and go with them.

--- a/src/front/claim.c
+++ b/src/front/claim.c
@@ -22,15 +22,6 @@
 	RESULT_MAX = 64 << 10,
 };
 
-/*
- * Context of a call to the store. The call may outlive its request, so it
- * refers to the request by handle.
- */
-typedef struct {
-	front_t *front;
-	mc_handle_t run;
-} store_call_t;
-
 static void read_claim(run_t *run);
 
 static char *encode_claim(const run_t *run, const char *state,
@@ -51,14 +42,25 @@
 
 static store_call_t *create_call(const run_t *run)
 {
-	store_call_t *call = malloc(sizeof(*call));
+	mc_handle_t handle;
+	store_call_t *call;
+	void *slot;
+
+	if (mc_table_add(run->front->store_calls, &handle, &slot))
+		return NULL;
+	call = slot;
+	*call = (store_call_t){
+		.front = run->front,
+		.handle = handle,
+		.run = run->handle,
+	};
+	return call;
+}
 
+static void free_call(store_call_t *call)
+{
 	if (call)
-		*call = (store_call_t){
-			.front = run->front,
-			.run = run->handle,
-		};
-	return call;
+		mc_table_remove(call->front->store_calls, call->handle);
 }
 
 /*
@@ -70,7 +72,7 @@
 	store_call_t *call = ctx;
 	run_t *run = mc_table_get(call->front->runs, call->run);
 
-	free(call);
+	free_call(call);
 	return run;
 }
 
@@ -107,7 +109,7 @@
 	if (!text || !call ||
 	    api->update(run->front->store, run->claim_name, version, text,
 			strlen(text), on_takeover, call)) {
-		free(call);
+		free_call(call);
 		run_step(run, MC_ONCE_EV_CLAIM_FAILED, MC_ERR_STORE_UNAVAILABLE,
 			 NULL);
 	}
@@ -175,7 +177,7 @@
 	if (call &&
 	    !api->read(run->front->store, run->claim_name, on_read, call))
 		return;
-	free(call);
+	free_call(call);
 	run_step(run, MC_ONCE_EV_CLAIM_FAILED, MC_ERR_STORE_UNAVAILABLE, NULL);
 }
 
@@ -203,7 +205,7 @@
 	if (!text || !call ||
 	    api->create(run->front->store, run->claim_name, text, strlen(text),
 			on_created, call)) {
-		free(call);
+		free_call(call);
 		run_step(run, MC_ONCE_EV_CLAIM_FAILED, MC_ERR_STORE_UNAVAILABLE,
 			 NULL);
 	}
--- a/src/front/front_private.h
+++ b/src/front/front_private.h
@@ -177,6 +177,8 @@
 	mc_table_t *queries;
 	mc_table_t *sub_queries;
 	mc_table_t *runs;
+	/* Calls to the store for @runs. */
+	mc_table_t *store_calls;
 	mc_admission_t *admission;
 	mc_retry_budget_t hedge_budget;
 	mc_retry_budget_t retry_budget;
--- a/src/front/run.c
+++ b/src/front/run.c
@@ -11,6 +11,8 @@
 
 enum {
 	RUNS_MAX = 4096,
+	/* Calls to the store may outlive their runs. */
+	STORE_CALLS_MAX = 4 * RUNS_MAX,
 	/* The response is sent this long before the caller's deadline. */
 	ANSWER_MARGIN_MS = 3,
 	/* Subtracted from the time left for transit to and from the gather. */
@@ -21,7 +23,9 @@
 mc_err_t run_init(front_t *front)
 {
 	front->runs = mc_table_create(sizeof(run_t), RUNS_MAX);
-	return front->runs ? MC_OK : MC_ERR_NO_MEMORY;
+	front->store_calls =
+		mc_table_create(sizeof(store_call_t), STORE_CALLS_MAX);
+	return front->runs && front->store_calls ? MC_OK : MC_ERR_NO_MEMORY;
 }
 
 static void run_free(run_t *run)
@@ -45,6 +49,7 @@
 	       (run = mc_table_next(front->runs, &cursor, &handle)))
 		run_free(run);
 	mc_table_destroy(front->runs);
+	mc_table_destroy(front->store_calls);
 }
 
 static void finish_run(run_t *run)
--- a/src/front/run_private.h
+++ b/src/front/run_private.h
@@ -41,6 +41,16 @@
 	const mc_view_t *view;
 } run_t;
 
+/*
+ * Context of a call to the store. The call may outlive its request, so it
+ * refers to the request by handle.
+ */
+typedef struct {
+	front_t *front;
+	mc_handle_t handle;
+	mc_handle_t run;
+} store_call_t;
+
 /*
  * Creates the claim in the store. The outcome is reported by run_step(), or by
  * run_reply_repeated() if the key has a result already.
--- a/src/gather/dispatch.c
+++ b/src/gather/dispatch.c
@@ -25,15 +25,6 @@
 	WAIT_MIN_MS = 2,
 };
 
-/* Sub-queries that were sent to a target in one HTTP request. */
-typedef struct {
-	gather_t *gather;
-	mc_handle_t target;
-	mc_ms_t sent_at;
-	uint32_t count;
-	mc_handle_t subs[GATHER_BATCH_MAX];
-} batch_t;
-
 void sub_query_remove(gather_t *gather, sub_query_t *sub)
 {
 	if (!sub->canceled)
@@ -230,14 +221,14 @@
 	target = mc_table_get(gather->targets, batch->target);
 	if (target)
 		dispatch_schedule_flush(gather, target);
-	free(batch);
+	mc_table_remove(gather->batches, batch->handle);
 }
 
 /* Ends a batch whose request failed before any byte of it was sent. */
 static void fail_batch(gather_t *gather, batch_t *batch)
 {
 	finish_batch(gather, batch, NULL, MC_ERR_NO_TARGET);
-	free(batch);
+	mc_table_remove(gather->batches, batch->handle);
 }
 
 static void send_batch(gather_t *gather, target_t *target, batch_t *batch,
@@ -278,13 +269,17 @@
 /* Sends one batch. Returns false if no sub-query can be sent now. */
 static bool flush_once(gather_t *gather, target_t *target)
 {
-	batch_t *batch = calloc(1, sizeof(*batch));
 	mc_ms_t deadline = 0;
+	mc_handle_t handle;
 	sub_query_t *sub;
+	batch_t *batch;
+	void *slot;
 
-	if (!batch)
+	if (mc_table_add(gather->batches, &handle, &slot))
 		return false;
+	batch = slot;
 	batch->gather = gather;
+	batch->handle = handle;
 	batch->target = target->handle;
 	while (batch->count < GATHER_BATCH_MAX &&
 	       (sub = pop_sendable(gather, target))) {
@@ -294,7 +289,7 @@
 		batch->subs[batch->count++] = sub->handle;
 	}
 	if (!batch->count) {
-		free(batch);
+		mc_table_remove(gather->batches, handle);
 		return false;
 	}
 	send_batch(gather, target, batch, deadline);
--- a/src/gather/gather.c
+++ b/src/gather/gather.c
@@ -13,6 +13,8 @@
 
 	targets_destroy(gather);
 	mc_table_destroy(gather->sub_queries);
+	mc_table_destroy(gather->batches);
+	mc_table_destroy(gather->runs);
 	mc_view_unref(gather->view);
 	if (gather->pool)
 		apr_pool_destroy(gather->pool);
@@ -29,7 +31,10 @@
 	gather->targets = mc_table_create(sizeof(target_t), GATHER_TARGETS_MAX);
 	gather->sub_queries =
 		mc_table_create(sizeof(sub_query_t), GATHER_SUB_QUERIES_MAX);
-	if (!gather->targets || !gather->sub_queries)
+	gather->batches = mc_table_create(sizeof(batch_t), GATHER_BATCHES_MAX);
+	gather->runs = mc_table_create(sizeof(run_t), GATHER_RUNS_MAX);
+	if (!gather->targets || !gather->sub_queries || !gather->batches ||
+	    !gather->runs)
 		return mc_fail(MC_ERR_NO_MEMORY,
 			       "no memory for the gather's tables");
 	return MC_OK;
--- a/src/gather/gather_private.h
+++ b/src/gather/gather_private.h
@@ -25,6 +25,8 @@
 	/* Maximum number of hits that a sub-query may request. */
 	GATHER_HITS_MAX = 1 << 16,
 	GATHER_SUB_QUERIES_MAX = 1 << 18,
+	GATHER_BATCHES_MAX = GATHER_SUB_QUERIES_MAX,
+	GATHER_RUNS_MAX = 1 << 16,
 	GATHER_TARGETS_MAX = 4096,
 	GATHER_START_ID_SIZE = 64,
 };
@@ -127,6 +129,27 @@
 	bool canceled;
 } sub_query_t;
 
+/* Sub-queries that were sent to a target in one HTTP request. */
+typedef struct {
+	gather_t *gather;
+	mc_handle_t handle;
+	mc_handle_t target;
+	mc_ms_t sent_at;
+	uint32_t count;
+	mc_handle_t subs[GATHER_BATCH_MAX];
+} batch_t;
+
+/* A run that was sent to a target. */
+typedef struct {
+	gather_t *gather;
+	mc_handle_t handle;
+	reply_route_t route;
+	/* The id that the front gave it. */
+	uint64_t id;
+	mc_handle_t target;
+	mc_ms_t sent_at;
+} run_t;
+
 struct gather_t {
 	mc_process_t *process;
 	mc_shard_t *shard;
@@ -149,6 +172,8 @@
 	apr_hash_t *sub_queries_by_key;
 	/* Fires when newly owned targets are to be reported to fronts. */
 	mc_handle_t announce_timer;
+	mc_table_t *batches;
+	mc_table_t *runs;
 	/* Run requests to targets whose responses are awaited. */
 	uint32_t runs_in_flight;
 	/* Search requests to targets whose responses are awaited. */
--- a/src/gather/run.c
+++ b/src/gather/run.c
@@ -9,16 +9,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* A request that was sent to a target. */
-typedef struct {
-	gather_t *gather;
-	reply_route_t route;
-	/* The id that the front gave it. */
-	uint64_t id;
-	mc_handle_t target;
-	mc_ms_t sent_at;
-} run_t;
-
 static void reply_result(gather_t *gather, reply_route_t route, uint64_t id,
 			 mc_err_t err, const char *result)
 {
@@ -89,33 +79,46 @@
 	}
 	free(result);
 	json_decref(root);
-	free(run);
+	mc_table_remove(gather->runs, run->handle);
+}
+
+static run_t *add_run(gather_t *gather, const target_t *target,
+		      reply_route_t route, uint64_t id)
+{
+	mc_handle_t handle;
+	run_t *run;
+	void *slot;
+
+	if (mc_table_add(gather->runs, &handle, &slot))
+		return NULL;
+	run = slot;
+	*run = (run_t){
+		.gather = gather,
+		.handle = handle,
+		.route = route,
+		.id = id,
+		.target = target->handle,
+		.sent_at = mc_shard_now(gather->shard),
+	};
+	return run;
 }
 
 static mc_err_t send_run(gather_t *gather, target_t *target,
 			 reply_route_t route, const mc_wire_run_t *from)
 {
-	run_t *run = calloc(1, sizeof(*run));
+	run_t *run = add_run(gather, target, route, from->id);
 	char *body = target_http_encode_run(from);
 	mc_err_t err = MC_ERR_NO_MEMORY;
 
-	if (run && body) {
-		*run = (run_t){
-			.gather = gather,
-			.route = route,
-			.id = from->id,
-			.target = target->handle,
-			.sent_at = mc_shard_now(gather->shard),
-		};
+	if (run && body)
 		err = target_http_send(gather, target, "/run", body,
 				       from->time_left, true, on_run, run,
 				       NULL);
-	}
 	free(body);
-	if (err)
-		free(run);
-	else
+	if (!err)
 		gather->runs_in_flight++;
+	else if (run)
+		mc_table_remove(gather->runs, run->handle);
 	return err ? MC_ERR_FULL : MC_OK;
 }
 
