soak: a reset that comes with the end of sending is a reset

The instance's notice period ended in that moment and it stopped listening, which resets connections that it has not accepted. The caller looked for the end of the connection after it sent the request, which took the socket's error, so that the next read saw an end without a reset. The reset is now noted where it is seen.

--- a/tests/soak/soak_conn.c
+++ b/tests/soak/soak_conn.c
@@ -53,12 +53,17 @@
 	close(conn->fd);
 }
 
-/* Whether the peer has ended the connection, as far as this side knows. */
-static bool has_ended(const soak_conn_t *conn)
+/*
+ * Whether the peer has ended the connection, as far as this side knows. A reset
+ * is noted, since the socket reports it only once.
+ */
+static bool has_ended(soak_conn_t *conn)
 {
 	char byte;
 	ssize_t size = recv(conn->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
 
+	if (size < 0 && errno == ECONNRESET)
+		conn->was_reset = true;
 	return size == 0 || (size < 0 && errno != EAGAIN);
 }
 
@@ -84,7 +89,8 @@
 		    conn->byte_pause ? 1 : space, 0);
 	if (size <= 0) {
 		conn->timed_out = size < 0 && errno == EAGAIN;
-		conn->was_reset = size < 0 && errno == ECONNRESET;
+		conn->was_reset =
+			conn->was_reset || (size < 0 && errno == ECONNRESET);
 		return false;
 	}
 	conn->used += (size_t)size;
