--- a/tests/soak/soak_callers.c
+++ b/tests/soak/soak_callers.c
@@ -320,15 +320,15 @@
 	  .enabled = true,
 	  .use = use_and_leave,
 	  .resets = true },
-	{ .name = "half_close", .enabled = false, .use = use_half_closed },
-	{ .name = "pipeline", .enabled = false, .use = use_pipelined },
+	{ .name = "half_close", .enabled = true, .use = use_half_closed },
+	{ .name = "pipeline", .enabled = true, .use = use_pipelined },
 	{ .name = "slow_pipeline",
-	  .enabled = false,
+	  .enabled = true,
 	  .use = use_pipelined,
 	  .receive_buffer = SLOW_RECEIVE_BUFFER,
 	  .byte_pause = SLOW_BYTE_PAUSE_US },
-	{ .name = "idle", .enabled = false, .use = use_after_idle_time },
-	{ .name = "long", .enabled = false, .use = use_for_long },
+	{ .name = "idle", .enabled = true, .use = use_after_idle_time },
+	{ .name = "long", .enabled = true, .use = use_for_long },
 };
 
 uint32_t callers_kind_count(void)
--- a/tests/system/stop_test.c
+++ b/tests/system/stop_test.c
@@ -387,11 +387,12 @@
 {
 	site_t *site = *state;
 	mc_handle_t process = site->instances[0].process;
-	char requests[PIPELINED * sizeof(request)] = "";
+	char requests[PIPELINED * sizeof(request)];
 	int fds[CONNECTIONS], i;
 
 	for (i = 0; i < PIPELINED; i++)
-		strcat(requests, request);
+		memcpy(requests + (size_t)i * strlen(request), request,
+		       sizeof(request));
 	set_delays(site, SLOW_MS / 4);
 	open_connections(site, fds);
 	for (i = 0; i < CONNECTIONS; i++)
