runtime, tier: the last lines of a stop tell errors from what is unanswered

Requests that may have run count as answered with an error, too, so the field is errors; a request that is left unanswered is logged as a warning. Found by the review. test_half_closed responded outside the shard's thread, which the thread sanitizer reports; it posts the response now.

--- a/src/runtime/shutdown.c
+++ b/src/runtime/shutdown.c
@@ -199,7 +199,7 @@
 	mc_log(params->log, work.requests ? MC_LOG_WARNING : MC_LOG_NOTICE,
 	       params->ops->name,
 	       "graceful shutdown ended reason=%s ms=%lld received=%llu "
-	       "answered=%llu refused=%llu callers_gone=%llu unanswered=%u "
+	       "answered=%llu errors=%llu callers_gone=%llu unanswered=%u "
 	       "connections=%u",
 	       reason, (long long)elapsed(stop),
 	       counted(stop, &now, MC_COUNTER_REQUESTS),
--- a/src/tier/finish.c
+++ b/src/tier/finish.c
@@ -92,6 +92,9 @@
 		       mc_last_error_message());
 }
 
+/* Outcome of a request that the process leaves without a response. */
+static const char outcome_unanswered[] = "unanswered";
+
 /* Logs one line per request. Complete successes are logged at debug level, as
  * they are the first lines to suppress. */
 static void log_outcome(const request_t *request, const char *outcome)
@@ -99,8 +102,11 @@
 	tier_t *tier = request->tier;
 	bool complete = !strcmp(outcome, "ok") && !request->progress.failed &&
 			request->progress.received == request->progress.total;
+	mc_log_level_t level = complete ? MC_LOG_DEBUG : MC_LOG_INFO;
 
-	mc_log(tier->log, complete ? MC_LOG_DEBUG : MC_LOG_INFO, "tier",
+	if (!strcmp(outcome, outcome_unanswered))
+		level = MC_LOG_WARNING;
+	mc_log(tier->log, level, "tier",
 	       "request finished id=%s route=%s map=%llu outcome=%s ms=%lld "
 	       "left_ms=%lld parts=%u/%u failed=%u sends=%u hedges=%u",
 	       request_id(request), request->route->name,
@@ -236,7 +242,7 @@
 	while (tier->requests &&
 	       (request = mc_table_next(tier->requests, &cursor, &handle))) {
 		if (begin_end(request)) {
-			log_outcome(request, "unanswered");
+			log_outcome(request, outcome_unanswered);
 			cancel_work(request);
 		}
 		request_free(request);
--- a/tests/unit/h1_test.c
+++ b/tests/unit/h1_test.c
@@ -48,6 +48,8 @@
 	uint32_t disconnected;
 	bool hold_responses;
 	mc_handle_t held_connection;
+	uint32_t responded;
+	mc_err_t respond_result;
 	/* Body of the responses; "done" if it is NULL. */
 	const char *body;
 	size_t body_size;
@@ -450,17 +452,29 @@
 	mc_shard_unlock(fixture->shard);
 }
 
-static void respond_to_held_request(fixture_t *fixture)
+static void respond_on_shard(mc_shard_t *shard, void *arg)
 {
+	fixture_t *fixture = arg;
 	const mc_h1_response_t response = { .status = 200,
 					    .body = "done",
 					    .body_size = 4 };
 
-	mc_shard_lock(fixture->shard);
+	(void)shard;
+	fixture->respond_result =
+		mc_h1_respond(fixture->h1, fixture->held_connection, &response);
+	fixture->responded++;
+}
+
+/* Responds to the last request on the shard's thread. */
+static void respond_to_held_request(fixture_t *fixture)
+{
+	uint32_t responded = fixture->responded;
+
 	assert_int_equal(
-		mc_h1_respond(fixture->h1, fixture->held_connection, &response),
+		mc_shard_post(fixture->shard, respond_on_shard, fixture),
 		MC_OK);
-	mc_shard_unlock(fixture->shard);
+	wait_for(fixture, &fixture->responded, responded + 1);
+	assert_int_equal(fixture->respond_result, MC_OK);
 }
 
 /*
