--- a/src/discovery/discovery_private.h
+++ b/src/discovery/discovery_private.h
@@ -108,7 +108,7 @@
  * @kind: kind of the records
  * @result: result of a list or watch with the records
  * @known_until: revision up to which all changes have been applied; 0 for a
- *list
+ *	list
  * @at: time from which grace periods count, ms; earlier than now where the
  *	records may have been missed for some time
  */
--- a/src/h1/include/mc/h1.h
+++ b/src/h1/include/mc/h1.h
@@ -43,7 +43,7 @@
  * @body: decoded body; not zero-terminated
  * @body_size: bytes of @body
  * @omitted_size: for the response to a HEAD request, which has no body: bytes
- *of the body that it leaves out, or MC_H1_SIZE_UNKNOWN
+ *	of the body that it leaves out, or MC_H1_SIZE_UNKNOWN
  * @keep_alive: the connection can be used again after this message
  * @trailing_data: further bytes have arrived after a response
  * @round_trip: round-trip time of a request's connection as measured by the
--- a/src/relay/include/mc/relay.h
+++ b/src/relay/include/mc/relay.h
@@ -38,7 +38,7 @@
  * struct mc_relay_ops_t - Functions of the instance that uses the relay
  * @get_revisions: fill in the known revision of each kind; returns whether this
  *	instance is fresh: it reads the store itself, and the store has
- *responded lately and after the time @since, ms
+ *	responded lately and after the time @since, ms
  * @on_changes: the upstream has relayed changes of a kind after the revision
  *	@since, or with MC_RELAY_LIST all records, as the undecoded response of
  *	the store @raw
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -2,8 +2,8 @@
  * Randomized fault soak of the tier. Real instances run between stand-ins of
  * the object store and of the searchers; faults are injected from outside the
  * instances, come in series and overlap, while callers check every response.
- *The seed determines the sequence of faults and the callers' choices; the
- *timing of processes and threads is not repeatable.
+ * The seed determines the sequence of faults and the callers' choices; the
+ * timing of processes and threads is not repeatable.
  *
  *	soak SEED [SECONDS [CALLERS]]
  *
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -109,7 +109,7 @@
  * @ended_at: when the connection ended, ms
  * @deadline: deadline that was sent with it, ms from @sent_at
  * @idle: how long the instance may have been without a request on the
- *connection when this one was sent, at most, ms
+ *	connection when this one was sent, at most, ms
  * @is_first: no request was sent on the connection before
  * @had_ended: the connection had ended when the last byte was sent
  * @was_reset: the connection ended with a TCP reset
--- a/tests/system/searchers.h
+++ b/tests/system/searchers.h
@@ -122,7 +122,7 @@
  * searcher_set_reset_on_reuse() - Reset connections that are used a second time
  * @searcher: the searcher
  * @reset_on_reuse: true resets each connection at its second request, without
- *running that request
+ *	running that request
  */
 void searcher_set_reset_on_reuse(searcher_t *searcher, bool reset_on_reuse);
 
