--- a/review/6/case-2.c
+++ b/review/6/case-2.c
@@ -89,12 +89,24 @@
 int main(int argc, char **argv)
 {
 	static kit_searcher_t searchers[] = {
-		{ .id = "i-1", .service = "menu", .zone = "aberteifi",
-		  .version = "v1", .slots = 6, .run = check_run },
-		{ .id = "i-2", .service = "menu", .zone = "aberteifi",
-		  .version = "v1", .slots = 6, .run = check_run },
-		{ .id = "i-3", .service = "menu", .zone = "aberteifi",
-		  .version = "v1", .slots = 6, .run = check_run },
+		{ .id = "i-1",
+		  .service = "menu",
+		  .zone = "aberteifi",
+		  .version = "v1",
+		  .slots = 6,
+		  .run = check_run },
+		{ .id = "i-2",
+		  .service = "menu",
+		  .zone = "aberteifi",
+		  .version = "v1",
+		  .slots = 6,
+		  .run = check_run },
+		{ .id = "i-3",
+		  .service = "menu",
+		  .zone = "aberteifi",
+		  .version = "v1",
+		  .slots = 6,
+		  .run = check_run },
 	};
 	uint16_t store;
 	int i;
--- a/review/8/case-2.c
+++ b/review/8/case-2.c
@@ -60,8 +60,10 @@
 	char id[32];
 
 	for (i = 0; !stopping; i++) {
-		kit_call_t call = { .method = "GET", .host = "m.example",
-				    .target = "/lookup/a", .id = id,
+		kit_call_t call = { .method = "GET",
+				    .host = "m.example",
+				    .target = "/lookup/a",
+				    .id = id,
 				    .deadline_ms = 6000 };
 
 		snprintf(id, sizeof(id), "c-%d-%d", number, i);
@@ -92,10 +94,18 @@
 int main(int argc, char **argv)
 {
 	static kit_searcher_t searchers[] = {
-		{ .id = "i-1", .service = "menu", .zone = "aberteifi",
-		  .version = "v1", .slots = 2, .run = check_run },
-		{ .id = "i-2", .service = "menu", .zone = "aberteifi",
-		  .version = "v1", .slots = 1, .run = check_run },
+		{ .id = "i-1",
+		  .service = "menu",
+		  .zone = "aberteifi",
+		  .version = "v1",
+		  .slots = 2,
+		  .run = check_run },
+		{ .id = "i-2",
+		  .service = "menu",
+		  .zone = "aberteifi",
+		  .version = "v1",
+		  .slots = 1,
+		  .run = check_run },
 	};
 	const kit_tier_t *upstream = NULL;
 	uint16_t store;
--- a/review/harness-2/kit.c
+++ b/review/harness-2/kit.c
@@ -186,9 +186,9 @@
 		return false;
 	if (kit_header(message, "Content-Length", value, sizeof(value)))
 		message->body_size = strtoul(value, NULL, 10);
-	message->keep_alive = !kit_header(message, "Connection", value,
-					  sizeof(value)) ||
-			      strcasecmp(value, "close");
+	message->keep_alive =
+		!kit_header(message, "Connection", value, sizeof(value)) ||
+		strcasecmp(value, "close");
 	message->body = calloc(1, message->body_size + 1);
 	while (used < message->body_size) {
 		count = recv(fd, message->body + used,
--- a/review/harness-2/kit.h
+++ b/review/harness-2/kit.h
@@ -34,7 +34,8 @@
 
 void kit_sleep(int64_t ms);
 
-/** kit_begin() - Open record.txt of the folder @folder and a temporary folder */
+/** kit_begin() - Open record.txt of the folder @folder and a temporary folder
+ */
 void kit_begin(const char *folder);
 
 /** kit_end() - End the processes that were started and exit with @code */
--- a/review/harness-2/store.c
+++ b/review/harness-2/store.c
@@ -202,11 +202,11 @@
 static void respond(int fd, int status, const char *body)
 {
 	char head[256];
-	int size = snprintf(head, sizeof(head),
-			    "HTTP/1.1 %d %s\r\nContent-Type: application/json"
-			    "\r\nContent-Length: %zu\r\n\r\n",
-			    status, status < 300 ? "OK" : "Error",
-			    strlen(body));
+	int size =
+		snprintf(head, sizeof(head),
+			 "HTTP/1.1 %d %s\r\nContent-Type: application/json"
+			 "\r\nContent-Length: %zu\r\n\r\n",
+			 status, status < 300 ? "OK" : "Error", strlen(body));
 
 	kit_write(fd, head, (size_t)size);
 	kit_write(fd, body, strlen(body));
@@ -262,8 +262,7 @@
 	int i;
 
 	for (i = 0; i < event_count; i++)
-		if (events[i].revision > since &&
-		    !strcmp(events[i].kind, kind))
+		if (events[i].revision > since && !strcmp(events[i].kind, kind))
 			return i;
 	return -1;
 }
