--- a/src/discovery/discovery_private.h
+++ b/src/discovery/discovery_private.h
@@ -284,16 +284,21 @@
 /** peers_has_upstream() - Whether an upstream relays the store's changes */
 bool peers_has_upstream(const mc_discovery_t *discovery);
 
-/** peers_note_watch() - Probe the store beside the watch of the route map,
- * which has begun */
-void peers_note_watch(mc_discovery_t *discovery);
-
 /** peers_set_era() - Tell the subscribers that the era of the store is known */
 void peers_set_era(mc_discovery_t *discovery);
 
 /** peers_send_state() - Send this instance's state to those who wait for it */
 void peers_send_state(mc_discovery_t *discovery);
 
+/* probe.c: probes of the store beside the open watches */
+
+/** probe_note_watch() - Probe the store beside the watch of the route map,
+ * which has begun */
+void probe_note_watch(mc_discovery_t *discovery);
+
+/** probe_request() - Probe the store soon, or @at_once, for subscribers */
+void probe_request(mc_discovery_t *discovery, bool at_once);
+
 /** discovery_schedule_publish() - Publish a view at the end of the turn */
 void discovery_schedule_publish(mc_discovery_t *discovery);
 
--- a/src/discovery/sync.c
+++ b/src/discovery/sync.c
@@ -478,7 +478,7 @@
 {
 	mc_discovery_t *discovery = sync->discovery;
 
-	peers_note_watch(discovery);
+	probe_note_watch(discovery);
 	discovery_set_timer(
 		discovery,
 		mc_read_watch_late_after(discovery->params.apply_max),
