relay: tell subscribers up to when the upstream has all changes

Cause: a subscriber took the arrival of a message for the time up to which it knew all. What an upstream relays may have been acknowledged any time since it last heard from the store, and its messages may have been held up.

Change: an upstream tells, for each kind, up to when it has all changes, in ms since the subscriber's HELLO arrived there. The subscriber adds that to when it sent HELLO, which is never too late, whatever was held up since, and needs no clock of the other. Grace periods count from there. MC_WIRE_VERSION rises to 2: instances of the two versions read the store for themselves. Weighed: a ping of each subscriber each 400 ms (as many messages again at the upstream, 86 of them at 430 nodes), the least delay that was seen (wrong where the first message was held up).

--- a/src/discovery/peers.c
+++ b/src/discovery/peers.c
@@ -45,7 +45,7 @@
  * @since proves nothing to a subscriber: this instance may have been suspended
  * in between, without its clock showing that.
  */
-static bool get_revisions(void *ctx, mc_ms_t since, uint64_t *revisions)
+static bool get_known(void *ctx, mc_ms_t since, mc_relay_known_t *known)
 {
 	mc_discovery_t *discovery = ctx;
 	mc_ms_t now = mc_shard_now(discovery->params.shard);
@@ -56,9 +56,11 @@
 	uint32_t i;
 
 	for (i = 0; i < MC_SOURCE_KIND_COUNT; i++) {
-		revisions[i] = discovery->syncs[i].state.revision;
-		reads_store =
-			reads_store && is_followed(&discovery->syncs[i], now);
+		const kind_sync_t *sync = &discovery->syncs[i];
+
+		known[i].revision = sync->state.revision;
+		known[i].complete_at = sync->complete_at;
+		reads_store = reads_store && is_followed(sync, now);
 	}
 	discovery->state_due =
 		discovery->state_due || !is_recent || !reads_store;
@@ -147,18 +149,17 @@
 					 raw, on_decoded, sync);
 }
 
-static void on_revisions(void *ctx, const uint64_t *revisions)
+static void on_known(void *ctx, const mc_relay_known_t *known)
 {
 	mc_discovery_t *discovery = ctx;
-	mc_ms_t now = mc_shard_now(discovery->params.shard);
 	uint32_t i;
 
 	for (i = 0; i < MC_SOURCE_KIND_COUNT; i++) {
 		kind_sync_t *sync = &discovery->syncs[i];
 
-		if (sync->state.revision >= revisions[i])
-			completeness_extend(sync, now);
-		read_missing(sync, revisions[i]);
+		if (sync->state.revision >= known[i].revision)
+			completeness_extend(sync, known[i].complete_at);
+		read_missing(sync, known[i].revision);
 	}
 }
 
@@ -181,18 +182,11 @@
 static void on_upstream_changed(void *ctx)
 {
 	mc_discovery_t *discovery = ctx;
-	mc_ms_t known;
-	uint32_t i;
 
 	if (peers_has_upstream(discovery))
 		return;
 	mc_counter_add(mc_shard_counters(discovery->params.shard),
 		       MC_COUNTER_NEWS_LOST, 1);
-	/* The store may have stopped responding to the upstream before. */
-	known = mc_relay_last_fresh(discovery->relay) - FRESH_TIMEOUT_MS;
-	for (i = 0; i < MC_SOURCE_KIND_COUNT; i++)
-		if (discovery->syncs[i].complete_at > known)
-			discovery->syncs[i].complete_at = known;
 	discovery_probe_first(discovery);
 }
 
@@ -262,9 +256,9 @@
 mc_err_t peers_create(mc_discovery_t *discovery)
 {
 	static const mc_relay_ops_t ops = {
-		.get_revisions = get_revisions,
+		.get_known = get_known,
 		.on_changes = on_changes,
-		.on_revisions = on_revisions,
+		.on_known = on_known,
 		.on_era = on_era,
 		.on_upstream_changed = on_upstream_changed,
 		.on_evidence = discovery_on_evidence,
--- a/src/relay/include/mc/relay.h
+++ b/src/relay/include/mc/relay.h
@@ -34,26 +34,37 @@
 	char address[MC_RELAY_NAME_SIZE];
 } mc_relay_peer_t;
 
+/**
+ * struct mc_relay_known_t - How far an instance knows the records of a kind
+ * @revision: revision of the store up to which it has all changes
+ * @complete_at: it has all changes that the store acknowledged before this time
+ *	of this instance's clock, ms; 0 if there is no such time
+ */
+typedef struct mc_relay_known_t {
+	uint64_t revision;
+	mc_ms_t complete_at;
+} mc_relay_known_t;
+
 /**
  * struct mc_relay_ops_t - Functions of the instance that uses the relay
- * @get_revisions: fill in the known revision of each kind; returns whether this
- *	instance is fresh: it reads the store itself, and the store has
- *	responded lately and after the time @since, ms
+ * @get_known: fill in how far each kind is known; returns whether this instance
+ *	is fresh: it reads the store itself, and the store has responded lately
+ *	and after the time @since, ms
  * @on_changes: the upstream has relayed changes of a kind after the revision
  *	@since, or with MC_RELAY_LIST all records, as the undecoded response of
  *	the store @raw
- * @on_revisions: the upstream knows each kind up to these revisions
+ * @on_known: how far the upstream knows each kind
  * @on_era: the upstream knows a later era of the store than this instance,
- *which answers with mc_relay_set_era()
+ *	which answers with mc_relay_set_era()
  * @on_upstream_changed: mc_relay_has_upstream() has changed
  * @on_evidence: another instance has told what it saw of targets; NULL when it
  *	is not used
  */
 typedef struct mc_relay_ops_t {
-	bool (*get_revisions)(void *ctx, mc_ms_t since, uint64_t *revisions);
+	bool (*get_known)(void *ctx, mc_ms_t since, mc_relay_known_t *known);
 	void (*on_changes)(void *ctx, uint32_t kind, uint64_t since,
 			   const char *raw);
-	void (*on_revisions)(void *ctx, const uint64_t *revisions);
+	void (*on_known)(void *ctx, const mc_relay_known_t *known);
 	void (*on_era)(void *ctx, uint64_t era);
 	void (*on_upstream_changed)(void *ctx);
 	void (*on_evidence)(void *ctx, const mc_wire_evidence_t *items,
@@ -123,7 +134,7 @@
  * @raw: undecoded response of the store; copied
  *
  * When the changes exceed this instance's budget of bytes, subscribers get only
- * the revisions of @get_revisions and read the changes from the store.
+ * the revisions of @get_known and read the changes from the store.
  */
 void mc_relay_send_changes(mc_relay_t *relay, uint32_t kind, uint64_t since,
 			   const char *raw);
@@ -156,10 +167,6 @@
  */
 bool mc_relay_may_have_upstream(const mc_relay_t *relay);
 
-/** mc_relay_last_fresh() - Get the time at which an upstream was last fresh,
- * ms; 0 for never */
-mc_ms_t mc_relay_last_fresh(const mc_relay_t *relay);
-
 /** mc_relay_send_state() - Send the state to all subscribers at once, as it has
  * changed */
 void mc_relay_send_state(mc_relay_t *relay);
--- a/src/relay/relay_private.h
+++ b/src/relay/relay_private.h
@@ -74,6 +74,8 @@
 	char upstream_name[MC_RELAY_NAME_SIZE];
 	/* When the connection was begun, ms. */
 	mc_ms_t connect_started_at;
+	/* When HELLO was sent, ms: the upstream counts from its arrival. */
+	mc_ms_t hello_sent_at;
 	/* When the last message arrived, ms; 0 until it is connected. */
 	mc_ms_t last_received;
 	/* The peer at @link has said that it is fresh, and not otherwise since.
--- a/src/relay/subscribers.c
+++ b/src/relay/subscribers.c
@@ -21,16 +21,30 @@
 
 static void send_state(mc_relay_t *relay, const subscriber_t *subscriber)
 {
-	uint64_t revisions[MC_WIRE_RELAY_KINDS_MAX] = { 0 };
+	mc_relay_known_t known[MC_WIRE_RELAY_KINDS_MAX] = { 0 };
+	uint64_t revisions[MC_WIRE_RELAY_KINDS_MAX];
+	uint64_t complete_for[MC_WIRE_RELAY_KINDS_MAX];
+	uint32_t kinds = relay->params.kind_count, i;
+	mc_ms_t since = subscriber->subscribed_at;
 	mc_wire_message_t message = { .kind = MC_WIRE_RELAY_STATE };
 
-	message.relay_state.watches_store = relay->params.ops->get_revisions(
-		relay->params.ctx, subscriber->subscribed_at, revisions);
-	message.relay_state.count = relay->params.kind_count;
+	message.relay_state = (mc_wire_relay_state_t){
+		.watches_store = relay->params.ops->get_known(relay->params.ctx,
+							      since, known),
+		.count = kinds,
+		.revisions = revisions,
+		.complete_count = kinds,
+		.complete_for = complete_for,
+	};
+	for (i = 0; i < kinds; i++) {
+		revisions[i] = known[i].revision;
+		complete_for[i] = known[i].complete_at > since
+					  ? known[i].complete_at - since
+					  : 0;
+	}
 	/* The era follows the kinds' revisions where the store tells it. */
 	if (relay->era)
 		revisions[message.relay_state.count++] = relay->era;
-	message.relay_state.revisions = revisions;
 	relay_send(relay, subscriber->link, &message);
 }
 
--- a/src/relay/upstream.c
+++ b/src/relay/upstream.c
@@ -108,6 +108,33 @@
 		disconnect(relay, "stale");
 }
 
+/*
+ * The upstream tells times since HELLO arrived there. Counted from when it was
+ * sent, they are never too late, however long a message or the upstream was
+ * held up since.
+ */
+static mc_ms_t complete_at(const mc_relay_t *relay,
+			   const mc_wire_relay_state_t *state, uint32_t kind)
+{
+	if (kind >= state->complete_count || !state->complete_for[kind])
+		return 0;
+	return relay->hello_sent_at + (mc_ms_t)state->complete_for[kind];
+}
+
+static void tell_known(const mc_relay_t *relay,
+		       const mc_wire_relay_state_t *state)
+{
+	mc_relay_known_t known[MC_WIRE_RELAY_KINDS_MAX];
+	uint32_t i;
+
+	for (i = 0; i < relay->params.kind_count; i++)
+		known[i] = (mc_relay_known_t){
+			.revision = state->revisions[i],
+			.complete_at = complete_at(relay, state, i),
+		};
+	relay->params.ops->on_known(relay->params.ctx, known);
+}
+
 static void handle_state(mc_relay_t *relay, const mc_wire_relay_state_t *state)
 {
 	mc_ms_t now = mc_shard_now(relay->params.shard);
@@ -129,7 +156,7 @@
 	relay->is_fresh = true;
 	relay->last_fresh = now;
 	set_has_upstream(relay, true, "fresh");
-	relay->params.ops->on_revisions(relay->params.ctx, state->revisions);
+	tell_known(relay, state);
 }
 
 static void on_opened(void *ctx, mc_handle_t link)
@@ -142,6 +169,7 @@
 	};
 
 	relay->last_received = mc_shard_now(relay->params.shard);
+	relay->hello_sent_at = relay->last_received;
 	relay_send(relay, link, &hello);
 }
 
@@ -265,11 +293,6 @@
 	return relay->has_upstream;
 }
 
-mc_ms_t mc_relay_last_fresh(const mc_relay_t *relay)
-{
-	return relay->last_fresh;
-}
-
 void upstream_close(mc_relay_t *relay)
 {
 	mc_timer_cancel(relay->params.shard, relay->check_timer);
--- a/src/wire/include/mc/wire.h
+++ b/src/wire/include/mc/wire.h
@@ -13,7 +13,7 @@
 
 enum {
 	/* Protocol version, sent in HELLO. */
-	MC_WIRE_VERSION = 1,
+	MC_WIRE_VERSION = 2,
 	/* Bounds that the decoder enforces. */
 	MC_WIRE_SUB_QUERIES_MAX = 4096,
 	MC_WIRE_HITS_MAX = 10000,
@@ -216,11 +216,17 @@
  *	through an upstream, and the store has responded recently
  * @count: number of kinds of store records
  * @revisions: for each kind, the store revision up to which it has all changes
+ * @complete_count: number of @complete_for; 0 if the sender doesn't know it
+ * @complete_for: for each kind, up to how long after the receiver's HELLO had
+ *	arrived it has all changes that the store acknowledged, ms; 0 if it
+ *	hasn't had all since
  */
 typedef struct mc_wire_relay_state_t {
 	bool watches_store;
 	uint32_t count;
 	uint64_t *revisions;
+	uint32_t complete_count;
+	uint64_t *complete_for;
 } mc_wire_relay_state_t;
 
 /**
