discovery: a subscriber doesn't wait for a watch of its own that hangs

Cause: an instance that finds an upstream leaves its own watches open. While one of them hung, a relayed list was passed over, as if the subscriber were reading one itself, and what the upstream's state showed to be missing was not read, as a call of the kind was open: for up to 18 s.

Change: a relayed list is passed over only beside a list of the subscriber's own. A watch that lacks at the upstream's next heartbeat what was missing at the one before is ended, and a list that may be stale is read.

Evidence: unit_discovery_era_peers, test_own_watch_hangs and test_list_beside_own_watch, fail with the two conditions as they were. The test's set-up relied on a watch that was behind its upstream; it begins at the upstream's revision now.

--- a/src/discovery/availability.c
+++ b/src/discovery/availability.c
@@ -27,13 +27,10 @@
 	for (i = 0; i < MC_SOURCE_KIND_COUNT; i++) {
 		kind_sync_t *sync = &discovery->syncs[i];
 
-		if (!sync->in_flight || sync->call != MC_READ_WATCH)
-			continue;
-		discovery->params.source->cancel_watch(discovery->source,
-						       sync->kind);
-		sync->in_flight = false;
-		discovery_set_timer(discovery, 0, discovery_continue_sync, sync,
-				    &sync->timer);
+		if (discovery_cancel_watch(sync))
+			discovery_set_timer(discovery, 0,
+					    discovery_continue_sync, sync,
+					    &sync->timer);
 	}
 }
 
--- a/src/discovery/discovery.c
+++ b/src/discovery/discovery.c
@@ -125,6 +125,7 @@
 			.discovery = discovery,
 			.kind = (mc_source_kind_t)i,
 			.relisting_since = MC_MS_NEVER,
+			.missing_since = MC_MS_NEVER,
 		};
 	discovery->syncs[MC_SOURCE_ROLLOUTS].state.needed = MC_READ_CURRENT;
 	if (peers_create(discovery))
--- a/src/discovery/discovery_private.h
+++ b/src/discovery/discovery_private.h
@@ -36,6 +36,8 @@
  * @checked_revision: revision of the store up to which a check of the watch has
  *	shown that nothing is missing
  * @check_was_stale: the last check was older than what is known of the store
+ * @missing_since: since when changes are missing that the upstream has, ms;
+ *	MC_MS_NEVER while none is
  * @poll_in_flight: a call that does not wait is open beside the watch
  * @poll_since: revision after which it asks for changes
  * @poll_begun_at: when it was begun, ms
@@ -64,6 +66,7 @@
 	mc_ms_t complete_at;
 	uint64_t checked_revision;
 	bool check_was_stale;
+	mc_ms_t missing_since;
 	bool poll_in_flight;
 	uint64_t poll_since;
 	mc_ms_t poll_begun_at;
@@ -174,6 +177,14 @@
  * a timer's handler */
 void discovery_continue_sync(mc_shard_t *shard, void *arg);
 
+/** discovery_is_watch() - Whether the open call of a kind, or the last one,
+ * reads changes */
+bool discovery_is_watch(const kind_sync_t *sync);
+
+/** discovery_cancel_watch() - End a kind's call if it is a watch that waits;
+ * returns whether it was */
+bool discovery_cancel_watch(kind_sync_t *sync);
+
 /** discovery_restart_watches() - Begin all open watches anew */
 void discovery_restart_watches(mc_discovery_t *discovery);
 
--- a/src/discovery/era.c
+++ b/src/discovery/era.c
@@ -23,11 +23,7 @@
 	/* A subscriber's list may be stale: its upstream knows what is new. */
 	bool may_be_stale = sync->listed_once && peers_has_upstream(discovery);
 
-	if (sync->in_flight && sync->call == MC_READ_WATCH) {
-		discovery->params.source->cancel_watch(discovery->source,
-						       sync->kind);
-		sync->in_flight = false;
-	}
+	discovery_cancel_watch(sync);
 	sync->is_void = sync->in_flight;
 	sync->begins_era = true;
 	sync->state = (mc_read_state_t){
--- a/src/discovery/peers.c
+++ b/src/discovery/peers.c
@@ -9,6 +9,9 @@
 #include <string.h>
 
 enum {
+	/* An open watch has brought within this time, ms, what the upstream
+	 * knows, or hangs. Less than the interval in which it tells that. */
+	WATCH_BEHIND_MS = 300,
 	/* After this time without a response, ms, the store may be unreachable,
 	 * and this instance reports to its subscribers that it is not fresh. */
 	FRESH_TIMEOUT_MS = 1200,
@@ -68,11 +71,32 @@
 	return reads_store && is_recent && !discovery->store_unavailable;
 }
 
+/* Cancels a watch from the time before there was an upstream, which lacks what
+ * that knows. */
+static void cancel_hanging_watch(kind_sync_t *sync)
+{
+	mc_ms_t now = mc_shard_now(sync->discovery->params.shard);
+
+	if (sync->missing_since == MC_MS_NEVER)
+		sync->missing_since = now;
+	if (now - sync->missing_since < WATCH_BEHIND_MS ||
+	    !discovery_cancel_watch(sync))
+		return;
+	mc_log(mc_shard_log(sync->discovery->params.shard), MC_LOG_NOTICE,
+	       "follow",
+	       "watch lacks what the upstream knows kind=%s above=%llu",
+	       discovery_kind_name(sync->kind),
+	       (unsigned long long)sync->state.revision);
+}
+
 /* Reads a kind from the store if its records up to @revision aren't known. */
 static void read_missing(kind_sync_t *sync, uint64_t revision)
 {
+	if (sync->state.revision >= revision)
+		sync->missing_since = MC_MS_NEVER;
 	if (!discovery_is_following(sync) || sync->state.revision >= revision)
 		return;
+	cancel_hanging_watch(sync);
 	if (revision > sync->state.needed)
 		sync->state.needed = revision;
 	/* A list that was too old is followed by another one after a pause, one
@@ -92,7 +116,8 @@
 		return;
 	}
 	/* A list that this instance is reading itself will do. */
-	if (result->has_more || sync->in_flight ||
+	if (result->has_more ||
+	    (sync->in_flight && !discovery_is_watch(sync)) ||
 	    result->revision <= sync->state.revision)
 		return;
 	mc_counter_add(mc_shard_counters(sync->discovery->params.shard),
--- a/src/discovery/sync.c
+++ b/src/discovery/sync.c
@@ -84,12 +84,22 @@
 	mc_counter_add(counters, cause, 1);
 }
 
-/* Whether the open call, or the last one, reads changes. */
-static bool is_watch(const kind_sync_t *sync)
+bool discovery_is_watch(const kind_sync_t *sync)
 {
 	return sync->call == MC_READ_WATCH || sync->call == MC_READ_CHANGES;
 }
 
+bool discovery_cancel_watch(kind_sync_t *sync)
+{
+	mc_discovery_t *discovery = sync->discovery;
+
+	if (!sync->in_flight || sync->call != MC_READ_WATCH)
+		return false;
+	discovery->params.source->cancel_watch(discovery->source, sync->kind);
+	sync->in_flight = false;
+	return true;
+}
+
 bool discovery_is_following(const kind_sync_t *sync)
 {
 	return sync->state.is_listed && sync->state.needed != MC_READ_CURRENT;
@@ -357,7 +367,7 @@
 static mc_ms_t handle_result(kind_sync_t *sync,
 			     const mc_source_result_t *result)
 {
-	if (!is_watch(sync))
+	if (!discovery_is_watch(sync))
 		return handle_list_result(sync, result) ? 0 : stale_pause(sync);
 	if (sync->call == MC_READ_CHANGES)
 		judge_late_watch(sync);
@@ -439,7 +449,7 @@
 		return MC_COUNTER_STORE_CALLS_PROBE;
 	if (!sync->listed_once)
 		return MC_COUNTER_STORE_CALLS_START;
-	if (is_watch(sync))
+	if (discovery_is_watch(sync))
 		return MC_COUNTER_STORE_CALLS_WATCH;
 	return sync->relisting_since == MC_MS_NEVER
 		       ? MC_COUNTER_STORE_CALLS_BEHIND
@@ -451,10 +461,9 @@
 static void give_up_late_watch(mc_shard_t *shard, void *arg)
 {
 	kind_sync_t *sync = arg;
-	mc_discovery_t *discovery = sync->discovery;
 
 	sync->late_timer = MC_HANDLE_NONE;
-	if (!sync->in_flight || sync->call != MC_READ_WATCH)
+	if (!discovery_cancel_watch(sync))
 		return;
 	mc_log(mc_shard_log(shard), MC_LOG_NOTICE, "follow",
 	       "watch is late: changes are read at once kind=%s above=%llu "
@@ -462,8 +471,6 @@
 	       discovery_kind_name(sync->kind),
 	       (unsigned long long)sync->state.revision,
 	       (long long)(mc_shard_now(shard) - sync->called_at));
-	discovery->params.source->cancel_watch(discovery->source, sync->kind);
-	sync->in_flight = false;
 	sync->state.watch_is_late = true;
 	discovery_resume_sync(sync);
 	sync->state.watch_is_late = false;
@@ -492,7 +499,7 @@
 	sync->called_at = mc_shard_now(discovery->params.shard);
 	if (sync->call == MC_READ_WATCH && kind_params[sync->kind].short_watch)
 		note_short_watch(sync);
-	if (is_watch(sync))
+	if (discovery_is_watch(sync))
 		return ops->watch(
 			discovery->source, sync->kind, sync->state.revision,
 			sync->call == MC_READ_WATCH ? watch_wait(sync) : 0,
@@ -535,7 +542,8 @@
 	if (needed > sync->state.needed)
 		sync->state.needed = needed;
 	/* A list in progress is followed by another one if necessary. */
-	if (!sync->state.is_listed || (sync->in_flight && !is_watch(sync)))
+	if (!sync->state.is_listed ||
+	    (sync->in_flight && !discovery_is_watch(sync)))
 		return;
 	if (sync->in_flight)
 		discovery->params.source->cancel_watch(discovery->source,
--- a/tests/unit/discovery_era_peers_test.c
+++ b/tests/unit/discovery_era_peers_test.c
@@ -1,7 +1,7 @@
 /*
  * Unit tests of a subscriber when the store comes back older, and it, or its
- * upstream, knows the later era first; and when the store is available to its
- * upstream alone.
+ * upstream, knows the later era first; when the store is available to its
+ * upstream alone; and when a watch of its own hangs.
  */
 #include "discovery_fixture.h"
 
@@ -115,6 +115,8 @@
 	upstream.revision = FORMER_REVISION;
 	assert_int_equal(mc_shard_post(fixture->shard, start_upstream, NULL),
 			 MC_OK);
+	/* A watch that lacked what the upstream knows would be given up. */
+	complete_empty(fixture, MC_SOURCE_TARGETS, 1, FORMER_REVISION);
 	add_upstream(fixture);
 	usleep(RELIANCE_US);
 	complete_empty(fixture, MC_SOURCE_ROUTEMAP, 1, FORMER_REVISION);
@@ -220,6 +222,63 @@
 	assert_true(fixture_wait_call(fixture, MC_SOURCE_TARGETS).allow_stale);
 }
 
+/* Waits until the targets are listed by a call that may be stale. */
+static void wait_stale_list(fixture_t *fixture)
+{
+	mc_ms_t end = mc_clock_now(mc_clock_system()) + FIXTURE_WAIT_MS;
+	call_t call;
+
+	do {
+		assert_true(mc_clock_now(mc_clock_system()) < end);
+		usleep(1000);
+		call = fixture_wait_call(fixture, MC_SOURCE_TARGETS);
+	} while (call.is_watch);
+	assert_true(call.allow_stale);
+}
+
+/* The subscriber's watch from before it had an upstream hangs, and the upstream
+ * tells that it knows more: the watch is not waited for. */
+static void test_own_watch_hangs(void **state)
+{
+	fixture_t *fixture = *state;
+
+	assert_true(fixture_wait_call(fixture, MC_SOURCE_TARGETS).is_watch);
+	set_upstream_era(fixture, 1, FORMER_REVISION + 1);
+	wait_stale_list(fixture);
+}
+
+static void relay_list(mc_shard_t *shard, void *arg)
+{
+	reply_t *sent = arg;
+
+	(void)shard;
+	fixture_source.decoded = sent->result;
+	mc_relay_send_changes(upstream.relay, sent->kind, MC_RELAY_LIST, "{}");
+	sent->handled = true;
+}
+
+/* The same, and the upstream relays a list: it is taken, as that watch is no
+ * list of the subscriber's own. */
+static void test_list_beside_own_watch(void **state)
+{
+	fixture_t *fixture = *state;
+	mc_source_record_t record = fixture_target_record("a");
+	reply_t list = {
+		.kind = MC_SOURCE_TARGETS,
+		.result = { .revision = FORMER_REVISION + 1,
+			    .record_count = 1,
+			    .records = &record },
+	};
+
+	record.revision = FORMER_REVISION + 1;
+	assert_true(fixture_wait_call(fixture, MC_SOURCE_TARGETS).is_watch);
+	assert_int_equal(mc_shard_post(fixture->shard, relay_list, &list),
+			 MC_OK);
+	fixture_wait_handled(fixture, &list);
+	assert_int_equal(fixture_wait_target_count(fixture, 1), 1);
+	assert_true(fixture_wait_call(fixture, MC_SOURCE_TARGETS).is_watch);
+}
+
 #define PEERS_TEST(test) \
 	cmocka_unit_test_setup_teardown(test, set_up, tear_down)
 
@@ -229,6 +288,8 @@
 		PEERS_TEST(test_upstream_is_ahead),
 		PEERS_TEST(test_upstream_is_behind),
 		PEERS_TEST(test_store_refuses_subscriber),
+		PEERS_TEST(test_own_watch_hangs),
+		PEERS_TEST(test_list_beside_own_watch),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/unit/discovery_fixture.c
+++ b/tests/unit/discovery_fixture.c
@@ -90,6 +90,16 @@
 	source->canceled_watches++;
 }
 
+static void fake_decode(mc_source_t *source, mc_source_kind_t kind,
+			bool is_list, const char *raw, mc_source_done_fn_t done,
+			void *ctx)
+{
+	(void)kind;
+	(void)is_list;
+	(void)raw;
+	done(ctx, &source->decoded);
+}
+
 static mc_err_t fake_register(mc_source_t *source,
 			      const mc_source_instance_t *instance,
 			      bool replace, mc_source_done_fn_t done, void *ctx)
@@ -125,6 +135,7 @@
 	.watch = fake_watch,
 	.poll = fake_poll,
 	.cancel_watch = fake_cancel_watch,
+	.decode = fake_decode,
 	.register_instance = fake_register,
 	.write_rollout_state = fake_write_rollout_state,
 };
--- a/tests/unit/discovery_fixture.h
+++ b/tests/unit/discovery_fixture.h
@@ -50,6 +50,8 @@
 	/* The open poll of each kind, and how many there were. */
 	call_t polls[MC_SOURCE_KIND_COUNT];
 	uint32_t poll_counts[MC_SOURCE_KIND_COUNT];
+	/* What a relayed response is decoded to. */
+	mc_source_result_t decoded;
 	state_write_t state_write;
 	bool registered;
 	uint32_t registrations;
