relay: a time of completeness is never later than now

A subscriber that was suspended for less time than is noticed has lost that time from its clock, and would take all that its upstream tells for that much later than it is, for as long as the link lasts. What seems to be yet to come shows it, and HELLO is taken to have been sent earlier. An upstream that was suspended is taken for too old instead, which only shortens grace periods.

Evidence: relay_test, test_time_after_suspension.

--- a/src/relay/upstream.c
+++ b/src/relay/upstream.c
@@ -121,12 +121,27 @@
 	return relay->hello_sent_at + (mc_ms_t)state->complete_for[kind];
 }
 
-static void tell_known(const mc_relay_t *relay,
-		       const mc_wire_relay_state_t *state)
+/* A time that is yet to come shows that this instance was suspended, without
+ * its clock showing that: it counts from earlier. */
+static void correct_hello_time(mc_relay_t *relay,
+			       const mc_wire_relay_state_t *state)
+{
+	mc_ms_t now = mc_shard_now(relay->params.shard), ahead;
+	uint32_t i;
+
+	for (i = 0; i < relay->params.kind_count; i++) {
+		ahead = complete_at(relay, state, i) - now;
+		if (ahead > 0)
+			relay->hello_sent_at -= ahead;
+	}
+}
+
+static void tell_known(mc_relay_t *relay, const mc_wire_relay_state_t *state)
 {
 	mc_relay_known_t known[MC_WIRE_RELAY_KINDS_MAX];
 	uint32_t i;
 
+	correct_hello_time(relay, state);
 	for (i = 0; i < relay->params.kind_count; i++)
 		known[i] = (mc_relay_known_t){
 			.revision = state->revisions[i],
--- a/tests/unit/relay_test.c
+++ b/tests/unit/relay_test.c
@@ -387,6 +387,34 @@
 	assert_true(told <= time);
 }
 
+static bool is_told_again(const fixture_t *fixture)
+{
+	return fixture->instances[1].known_revisions[1] == 9;
+}
+
+/* The subscriber was suspended, and its clock stood still meanwhile, so that
+ * what it is told seems to be yet to come: it is taken for no later than now.
+ */
+static void test_time_after_suspension(void **state)
+{
+	fixture_t *fixture = *state;
+	mc_ms_t told;
+
+	wait_for(fixture, has_upstream);
+	set_complete_at(fixture, mc_clock_now(mc_clock_system()) + 60000);
+	wait_for(fixture, is_told_time);
+	mc_shard_lock(fixture->shard);
+	told = fixture->instances[1].told_complete_at;
+	fixture->instances[0].complete_at -= 1000;
+	fixture->instances[0].revisions[1] = 9;
+	mc_shard_unlock(fixture->shard);
+	assert_true(told <= mc_clock_now(mc_clock_system()));
+	wait_for(fixture, is_told_again);
+	mc_shard_lock(fixture->shard);
+	assert_int_equal(fixture->instances[1].told_complete_at, told - 1000);
+	mc_shard_unlock(fixture->shard);
+}
+
 static void test_lost_upstream(void **state)
 {
 	fixture_t *fixture = *state;
@@ -800,6 +828,8 @@
 						tear_down),
 		cmocka_unit_test_setup_teardown(test_time_of_completeness,
 						set_up, tear_down),
+		cmocka_unit_test_setup_teardown(test_time_after_suspension,
+						set_up, tear_down),
 		cmocka_unit_test_setup_teardown(test_lost_upstream, set_up,
 						tear_down),
 		cmocka_unit_test_setup_teardown(test_stale_for_a_moment,
