--- a/tests/system/late_test.c
+++ b/tests/system/late_test.c
@@ -140,6 +140,25 @@
 	check_unused_after(site, 0, now_ms() + DATA_CENTER_OUT_MS);
 }
 
+static bool knows_both_instances(void *ctx)
+{
+	return site_metric(ctx, 0, "mangocove_instances") == 2;
+}
+
+/* The same of the instances, whose number divides what targets bear. */
+static void test_instance_joins(void **state)
+{
+	site_t *site = *state;
+	mc_ms_t joined_at;
+
+	object_store_lose_watch(site->object_store, "mangocove-instances");
+	site_start_instance(site, 1);
+	harness_wait_until("the lost response", has_lost_watch, site);
+	joined_at = now_ms();
+	harness_wait_until("both instances", knows_both_instances, site);
+	assert_true(now_ms() - joined_at < STABLE_AFTER_MS);
+}
+
 /*
  * review/8: the instance that relays changes to another one is paused for less
  * time than the other one notices, and a target leaves meanwhile. The other one
@@ -172,6 +191,7 @@
 	const struct CMUnitTest tests[] = {
 		LATE_TEST(test_target_leaves),
 		LATE_TEST(test_data_center_out),
+		LATE_TEST(test_instance_joins),
 		cmocka_unit_test_setup_teardown(test_upstream_paused,
 						set_up_pair, tear_down),
 	};
