--- a/src/discovery/discovery.c
+++ b/src/discovery/discovery.c
@@ -1,8 +1,9 @@
 /*
  * Life cycle of a discovery. Publishes a view at the end of a turn of the loop
- * when anything has changed. sync.c reads the records, availability.c tells
- * whether the store responds, era.c whether it has come back older, records.c
- * applies what was read.
+ * when anything has changed. sync.c reads the records, results.c and records.c
+ * apply what was read, probe.c and completeness.c find out what a watch has
+ * missed, availability.c tells whether the store responds, era.c whether it has
+ * come back older.
  */
 #include "discovery_private.h"
 
--- a/src/discovery/discovery_private.h
+++ b/src/discovery/discovery_private.h
@@ -167,6 +167,18 @@
 /** discovery_change_max() - Time within which changes must be applied, ms */
 mc_ms_t discovery_change_max(const mc_discovery_t *discovery);
 
+/** discovery_batch_delay() - Pause before the next watch of a kind, so that
+ * changes within it are read together, ms */
+mc_ms_t discovery_batch_delay(const kind_sync_t *sync);
+
+/** discovery_begin_relist() - Give up what is known to be complete of a kind,
+ * which is then listed */
+void discovery_begin_relist(kind_sync_t *sync);
+
+/** results_handle() - Apply the result of a list or watch that has not failed;
+ * returns the pause before the kind's next call, ms */
+mc_ms_t results_handle(kind_sync_t *sync, const mc_source_result_t *result);
+
 /** discovery_backoff() - Get the wait after @failures failures in a row, ms */
 mc_ms_t discovery_backoff(mc_discovery_t *discovery, uint32_t failures);
 
