--- a/tests/system/cold_test.c
+++ b/tests/system/cold_test.c
@@ -47,11 +47,11 @@
 	cluster_start_with_load(&load, WARM_BEHAVIOUR, WARMUP_ANSWERS);
 	cluster_print_target_counters(target, "warm");
 	cluster_control_target(target, COLD_START_BEHAVIOUR);
-	start = mc_clock_now(mc_clock_system());
+	start = harness_now();
 	cluster_load_wait_answered(&load, START_ID_ANSWERS);
 	breaches_before = cluster_target_counter(target, "cold_breaches");
 	cluster_print_target_counters(target, "gathers have the new start id");
-	while (mc_clock_now(mc_clock_system()) - start < COLD_START_MS)
+	while (harness_now() - start < COLD_START_MS)
 		cluster_load_wait_answered(&load, POLL_ANSWERS);
 	cluster_print_target_counters(target, "end of the cold start");
 	breaches_after = cluster_target_counter(target, "cold_breaches");
--- a/tests/system/cost_test.c
+++ b/tests/system/cost_test.c
@@ -91,7 +91,7 @@
 	const cluster_instance_t *instance;
 	json_t *counts = cluster_control_platform(cluster, "{}");
 	sample_t sample = {
-		.taken_at = mc_clock_now(mc_clock_system()),
+		.taken_at = harness_now(),
 		.store_calls = fleet_status_number(counts, "reads") +
 			       fleet_status_number(counts, "writes") +
 			       fleet_status_number(counts, "watches"),
--- a/tests/system/endless_test.c
+++ b/tests/system/endless_test.c
@@ -43,11 +43,6 @@
 	return 0;
 }
 
-static mc_ms_t now_ms(void)
-{
-	return mc_clock_now(mc_clock_system());
-}
-
 /* Most memory that instance 0 has had, MB; 0 if it has ended. */
 static unsigned int peak_memory(site_t *site)
 {
@@ -68,9 +63,9 @@
 
 static void *send_searches(void *arg)
 {
-	mc_ms_t end = now_ms() + RUN_MS;
+	mc_ms_t end = harness_now() + RUN_MS;
 
-	while (now_ms() < end)
+	while (harness_now() < end)
 		site_send_request(arg, 0, "GET", "/all/x", TIME_LEFT_MS);
 	return NULL;
 }
--- a/tests/system/harness.c
+++ b/tests/system/harness.c
@@ -256,6 +256,11 @@
 	return harness_stop(harness, process, 0);
 }
 
+mc_ms_t harness_now(void)
+{
+	return mc_clock_now(mc_clock_system());
+}
+
 void harness_sleep(mc_ms_t time)
 {
 	const struct timespec duration = {
--- a/tests/system/harness.h
+++ b/tests/system/harness.h
@@ -131,6 +131,9 @@
 int harness_wait_exit(harness_t *harness, mc_handle_t process, char *output,
 		      size_t size);
 
+/** harness_now() - Time of the steady clock, ms */
+mc_ms_t harness_now(void);
+
 /**
  * harness_sleep() - Sleep for a fixed time
  * @time: duration, ms
--- a/tests/system/late_test.c
+++ b/tests/system/late_test.c
@@ -51,16 +51,11 @@
 	return 0;
 }
 
-static mc_ms_t now_ms(void)
-{
-	return mc_clock_now(mc_clock_system());
-}
-
 /* Sends requests to an instance until a time, one after the other. Each is
  * served, or refused where no target is left. */
 static void send_until(site_t *site, uint32_t instance, mc_ms_t end)
 {
-	while (now_ms() < end) {
+	while (harness_now() < end) {
 		int status = site_send_request(site, instance, "GET", "/one/x",
 					       TIME_LEFT_MS)
 				     .status;
@@ -75,7 +70,7 @@
 	site_t *site = ctx;
 	uint32_t before = searcher_count_requests(site->single_replicas[1]);
 
-	send_until(site, 0, now_ms() + TIME_LEFT_MS);
+	send_until(site, 0, harness_now() + TIME_LEFT_MS);
 	return searcher_count_requests(site->single_replicas[1]) == before;
 }
 
@@ -113,7 +108,7 @@
 	object_store_lose_watch(site->object_store, kind);
 	object_store_put(site->object_store, kind, name, json_object());
 	harness_wait_until("the lost response", has_lost_watch, site);
-	send_until(site, 0, now_ms() + STABLE_AFTER_MS);
+	send_until(site, 0, harness_now() + STABLE_AFTER_MS);
 }
 
 /* review/6: one response to the watch of the targets is lost. What changes
@@ -126,7 +121,7 @@
 	lose_watch(site, "servers", "unreadable");
 	searcher_register(site->single_replicas[0], site->object_store,
 			  "draining");
-	check_unused_after(site, 0, now_ms() + DRAIN_MS);
+	check_unused_after(site, 0, harness_now() + DRAIN_MS);
 }
 
 /* No watch is answered, and reads that may be stale show nothing: a target that
@@ -138,10 +133,10 @@
 	leave_only_target(site);
 	object_store_hang_watches(site->object_store, true);
 	object_store_set_stale(site->object_store, true);
-	send_until(site, 0, now_ms() + STABLE_AFTER_MS);
+	send_until(site, 0, harness_now() + STABLE_AFTER_MS);
 	searcher_register(site->single_replicas[0], site->object_store,
 			  "draining");
-	check_unused_after(site, 0, now_ms() + DRAIN_MS);
+	check_unused_after(site, 0, harness_now() + DRAIN_MS);
 }
 
 /* The same of the data centres that are out of service. */
@@ -152,7 +147,7 @@
 	lose_watch(site, "evacuations", "dc7");
 	object_store_put(site->object_store, "evacuations", "dc0",
 			 json_object());
-	check_unused_after(site, 0, now_ms() + DATA_CENTER_OUT_MS);
+	check_unused_after(site, 0, harness_now() + DATA_CENTER_OUT_MS);
 }
 
 static bool knows_both_instances(void *ctx)
@@ -169,9 +164,9 @@
 	object_store_lose_watch(site->object_store, "mangocove-instances");
 	site_start_instance(site, 1);
 	harness_wait_until("the lost response", has_lost_watch, site);
-	joined_at = now_ms();
+	joined_at = harness_now();
 	harness_wait_until("both instances", knows_both_instances, site);
-	assert_true(now_ms() - joined_at < STABLE_AFTER_MS);
+	assert_true(harness_now() - joined_at < STABLE_AFTER_MS);
 }
 
 /*
@@ -193,7 +188,7 @@
 	harness_sleep(PAUSE_LEAD_MS);
 	searcher_register(site->single_replicas[0], site->object_store,
 			  "draining");
-	left_at = now_ms();
+	left_at = harness_now();
 	send_until(site, relay.subscriber, left_at + PAUSE_MS);
 	harness_signal(site->harness, upstream, SIGCONT);
 	check_unused_after(site, relay.subscriber, left_at + DRAIN_MS);
--- a/tests/system/leave_test.c
+++ b/tests/system/leave_test.c
@@ -23,11 +23,6 @@
 	IDLE_MS = 1500,
 };
 
-static mc_ms_t now(void)
-{
-	return mc_clock_now(mc_clock_system());
-}
-
 /*
  * The @count targets from index @first on, which are drained and put back.
  * @last_work_at is when any of them last got work (ms), @queries_before the
@@ -52,7 +47,7 @@
 			&range->cluster->targets[range->first + i], "idle_ms");
 		shortest = idle < shortest ? idle : shortest;
 	}
-	range->last_work_at = now() - shortest;
+	range->last_work_at = harness_now() - shortest;
 	return shortest > IDLE_MS;
 }
 
@@ -130,7 +125,7 @@
 
 	start_under_load(cluster, &load);
 	harness_wait_until("the data centre has work", range_has_work, &range);
-	start = now();
+	start = harness_now();
 	set_data_center_out(cluster, 1);
 	check_drained(&range, start);
 	set_data_center_out(cluster, -1);
@@ -150,7 +145,7 @@
 
 	start_under_load(cluster, &load);
 	harness_wait_until("the target has work", range_has_work, &range);
-	start = now();
+	start = harness_now();
 	cluster_control_target(&cluster->targets[0], "{\"drain\":true}");
 	check_drained(&range, start);
 	cluster_control_target(&cluster->targets[0], "{\"drain\":false}");
--- a/tests/system/limit_test.c
+++ b/tests/system/limit_test.c
@@ -52,11 +52,6 @@
 	return 0;
 }
 
-static mc_ms_t now_ms(void)
-{
-	return mc_clock_now(mc_clock_system());
-}
-
 /* Outcomes of the requests of one test. */
 typedef struct {
 	uint32_t sent, served, refused, failed, refused_late, unanswered;
@@ -69,7 +64,7 @@
 static void send_one_to(site_t *site, uint32_t index, const char *path,
 			outcomes_t *outcomes)
 {
-	mc_ms_t start = now_ms();
+	mc_ms_t start = harness_now();
 	site_answer_t answer =
 		site_send_request(site, index, "GET", path, TIME_LEFT_MS);
 	char wait[32] = "";
@@ -83,9 +78,9 @@
 		outcomes->failed++;
 	outcomes->unanswered += !answer.status;
 	if (answer.status == 503 &&
-	    now_ms() - start > outcomes->slowest_refusal)
-		outcomes->slowest_refusal = now_ms() - start;
-	if (answer.status == 503 && now_ms() - start > REFUSAL_MS)
+	    harness_now() - start > outcomes->slowest_refusal)
+		outcomes->slowest_refusal = harness_now() - start;
+	if (answer.status == 503 && harness_now() - start > REFUSAL_MS)
 		outcomes->refused_late++;
 	if (answer.status == 503 &&
 	    raw_get_header(answer.head, "Retry-After", wait, sizeof(wait))) {
@@ -105,9 +100,9 @@
 static outcomes_t send_for(site_t *site, const char *path, mc_ms_t time)
 {
 	outcomes_t outcomes = { 0 };
-	mc_ms_t end = now_ms() + time;
+	mc_ms_t end = harness_now() + time;
 
-	while (now_ms() < end)
+	while (harness_now() < end)
 		send_one(site, path, &outcomes);
 	return outcomes;
 }
@@ -139,7 +134,7 @@
 static void check_all_limited(site_t *site, double limit)
 {
 	outcomes_t outcomes;
-	mc_ms_t told = now_ms();
+	mc_ms_t told = harness_now();
 	int i;
 
 	set_limits(site, limit);
@@ -173,7 +168,7 @@
 {
 	site_t *site = *state;
 	outcomes_t outcomes;
-	mc_ms_t told = now_ms();
+	mc_ms_t told = harness_now();
 
 	searcher_set_header(site->single_replicas[0], "Server-Limit", "10");
 	outcomes = send_for(site, "/one/x", RUN_MS);
@@ -204,7 +199,7 @@
 	site_t *site = *state;
 	uint32_t before, i, j;
 	outcomes_t outcomes;
-	mc_ms_t told = now_ms();
+	mc_ms_t told = harness_now();
 
 	for (i = 0; i < 2; i++)
 		for (j = 0; j < SITE_REPLICAS; j++)
@@ -233,7 +228,7 @@
 static void test_instance_starts_again(void **state)
 {
 	site_t *site = *state;
-	mc_ms_t told = now_ms();
+	mc_ms_t told = harness_now();
 	int i;
 
 	set_limits(site, 6);
@@ -311,9 +306,9 @@
 static void *run_caller(void *arg)
 {
 	caller_t *caller = arg;
-	mc_ms_t end = now_ms() + RUN_MS;
+	mc_ms_t end = harness_now() + RUN_MS;
 
-	while (now_ms() < end)
+	while (harness_now() < end)
 		send_one_to(caller->site, 0, "/one/x", &caller->outcomes);
 	return NULL;
 }
@@ -325,14 +320,14 @@
 	caller_t callers[CALLERS] = { 0 };
 	pthread_t threads[CALLERS];
 	site_t *site = *state;
-	mc_ms_t end = now_ms() + RUN_MS;
+	mc_ms_t end = harness_now() + RUN_MS;
 	int i;
 
 	for (i = 0; i < CALLERS; i++) {
 		callers[i].site = site;
 		pthread_create(&threads[i], NULL, run_caller, &callers[i]);
 	}
-	while (now_ms() < end) {
+	while (harness_now() < end) {
 		set_limits(site, 60);
 		harness_sleep(MS_PER_S / 2);
 		set_limits(site, 0.5);
--- a/tests/system/member_test.c
+++ b/tests/system/member_test.c
@@ -95,7 +95,7 @@
 static mc_ms_t wait_gathers_usable(cluster_t *cluster, uint32_t observed,
 				   json_int_t usable)
 {
-	mc_ms_t start = mc_clock_now(mc_clock_system());
+	mc_ms_t start = harness_now();
 	uint32_t i;
 
 	for (i = 0; i < DATA_CENTERS; i++)
@@ -106,7 +106,7 @@
 					  .data_center = i,
 					  .observed = observed,
 					  .usable = usable });
-	return mc_clock_now(mc_clock_system()) - start;
+	return harness_now() - start;
 }
 
 static void test_gather_killed(void **state)
--- a/tests/system/move_test.c
+++ b/tests/system/move_test.c
@@ -218,17 +218,15 @@
 
 	harness_wait_until("a front takes the move back", any_front_in_state,
 			   &poll);
-	first_verdict = mc_clock_now(mc_clock_system());
+	first_verdict = harness_now();
 	print_message("first verdict after %lld ms: %s\n",
 		      (long long)(first_verdict - start), poll.reason);
 	assert_non_null(strstr(poll.reason, reason));
 	harness_wait_until("all fronts have taken the move back",
 			   all_fronts_in_state, &poll);
-	print_message(
-		"taken back at all fronts %lld ms later\n",
-		(long long)(mc_clock_now(mc_clock_system()) - first_verdict));
-	harness_sleep(first_verdict + VERDICT_SPREAD_MS -
-		      mc_clock_now(mc_clock_system()));
+	print_message("taken back at all fronts %lld ms later\n",
+		      (long long)(harness_now() - first_verdict));
+	harness_sleep(first_verdict + VERDICT_SPREAD_MS - harness_now());
 	work = count_work(cluster, 2, "queries") +
 	       count_work(cluster, 2, "runs");
 	harness_sleep(QUIET_MS);
@@ -258,7 +256,7 @@
 	assert_true(moved_at <= cluster->move_done_by);
 	harness_sleep(QUIET_MS);
 	set_new_version_behaviour(cluster, "{\"fail_search_percent\":100}");
-	failing_since = mc_clock_now(mc_clock_system());
+	failing_since = harness_now();
 	check_taken_back(cluster, failing_since, "search");
 	end_load();
 }
@@ -268,7 +266,7 @@
 {
 	json_int_t old_work_before = count_work(cluster, 1, counter);
 	move_poll_t poll = { .cluster = cluster, .state = "taken_back" };
-	mc_ms_t start = mc_clock_now(mc_clock_system());
+	mc_ms_t start = harness_now();
 
 	harness_wait_until("the bad version is taken back",
 			   bad_version_is_judged, &poll);
--- a/tests/system/notice_test.c
+++ b/tests/system/notice_test.c
@@ -44,11 +44,6 @@
 	return 0;
 }
 
-static mc_ms_t now_ms(void)
-{
-	return mc_clock_now(mc_clock_system());
-}
-
 typedef struct {
 	uint32_t sent, served, refused, refused_late, wait_changes;
 	char last_wait[32];
@@ -57,20 +52,20 @@
 static outcomes_t send_for(site_t *site, mc_ms_t time)
 {
 	outcomes_t outcomes = { 0 };
-	mc_ms_t end = now_ms() + time, start;
+	mc_ms_t end = harness_now() + time, start;
 
-	while (now_ms() < end) {
+	while (harness_now() < end) {
 		char wait[32] = "";
 		site_answer_t answer;
 
-		start = now_ms();
+		start = harness_now();
 		answer = site_send_request(site, 0, "GET", "/one/x",
 					   TIME_LEFT_MS);
 		outcomes.sent++;
 		outcomes.served += answer.status == 200;
 		outcomes.refused += answer.status == 503;
-		outcomes.refused_late +=
-			answer.status == 503 && now_ms() - start > REFUSAL_MS;
+		outcomes.refused_late += answer.status == 503 &&
+					 harness_now() - start > REFUSAL_MS;
 		raw_get_header(answer.head, "Retry-After", wait, sizeof(wait));
 		outcomes.wait_changes += strcmp(wait, outcomes.last_wait) != 0;
 		memcpy(outcomes.last_wait, wait, sizeof(wait));
--- a/tests/system/peers_test.c
+++ b/tests/system/peers_test.c
@@ -110,11 +110,11 @@
 	upstream = site->instances[relay.upstream].process;
 	harness_signal(site->harness, upstream, SIGSTOP);
 	site_put_config(site, NULL);
-	start = mc_clock_now(mc_clock_system());
+	start = harness_now();
 	harness_wait_until("the map while the upstream is paused", has_version,
 			   &relay);
 	/* Time limit for applying a map in the site's settings. */
-	assert_true(mc_clock_now(mc_clock_system()) - start < 3000);
+	assert_true(harness_now() - start < 3000);
 	harness_signal(site->harness, upstream, SIGCONT);
 	relay_pair_wait(&relay);
 	site_put_config(site, NULL);
@@ -223,11 +223,11 @@
 	object_store_hang_watches(site->object_store, true);
 	object_store_set_stale(site->object_store, true);
 	site_put_config(site, NULL);
-	start = mc_clock_now(mc_clock_system());
+	start = harness_now();
 	harness_wait_until("the map of the upstream", upstream_has_version,
 			   &relay);
 	harness_wait_until("the map of the subscriber", has_version, &relay);
-	assert_true(mc_clock_now(mc_clock_system()) - start < 3000);
+	assert_true(harness_now() - start < 3000);
 	object_store_set_stale(site->object_store, false);
 	object_store_hang_watches(site->object_store, false);
 	site_put_config(site, NULL);
--- a/tests/system/rollout_test.c
+++ b/tests/system/rollout_test.c
@@ -76,11 +76,6 @@
 	return 0;
 }
 
-static mc_ms_t now_ms(void)
-{
-	return mc_clock_now(mc_clock_system());
-}
-
 static void start_new_version(rollout_t *rollout, const char *version)
 {
 	int i;
@@ -108,7 +103,7 @@
 			 json_pack("{ss ss si}", "backend", "single",
 				   "targetVersion", version, "durationS",
 				   DURATION_S));
-	rollout->ordered_at = now_ms();
+	rollout->ordered_at = harness_now();
 }
 
 static bool has_state(const rollout_t *rollout, const char *wanted)
@@ -143,9 +138,9 @@
 static void note_bad_answers(rollout_t *rollout)
 {
 	if (!rollout->bad_at && bad_answers(rollout) >= BAD_ANSWERS)
-		rollout->bad_at = now_ms();
+		rollout->bad_at = harness_now();
 	if (rollout->bad_at && !rollout->exposed_at_end &&
-	    now_ms() - rollout->bad_at > ROLLBACK_MS)
+	    harness_now() - rollout->bad_at > ROLLBACK_MS)
 		rollout->exposed_at_end = exposed(rollout);
 }
 
@@ -164,7 +159,7 @@
 /* Sends requests until @end, ms after the order. */
 static void send_until(rollout_t *rollout, mc_ms_t end)
 {
-	while (now_ms() - rollout->ordered_at < end)
+	while (harness_now() - rollout->ordered_at < end)
 		send_one(rollout);
 }
 
@@ -204,7 +199,7 @@
 	assert_true(has_state(rollout, "rolled_back"));
 	/* Nothing reaches the version any more. */
 	before = exposed(rollout);
-	end = now_ms() - rollout->ordered_at + MS_PER_S;
+	end = harness_now() - rollout->ordered_at + MS_PER_S;
 	send_until(rollout, end);
 	assert_int_equal(exposed(rollout), before);
 }
@@ -371,7 +366,7 @@
 	shard = searcher_start("shard0", "dc0", NEW_FIRST);
 	searcher_set_version(shard, "v2");
 	searcher_register(shard, site->object_store, "ready");
-	while (now_ms() - rollout->ordered_at < DURATION_S * MS_PER_S) {
+	while (harness_now() - rollout->ordered_at < DURATION_S * MS_PER_S) {
 		send_one(rollout);
 		site_send_request(site, rollout->sent % INSTANCES, "GET",
 				  "/all/x", TIME_LEFT_MS);
--- a/tests/system/tier_test.c
+++ b/tests/system/tier_test.c
@@ -214,10 +214,10 @@
 	mc_ms_t start;
 
 	searcher_set_delay(site->shards[0][0], TIME_LEFT_MS);
-	start = mc_clock_now(mc_clock_system());
+	start = harness_now();
 	answer = site_send_request(site, 0, "GET", "/all/x", TIME_LEFT_MS);
 	check_merged(answer);
-	assert_true(mc_clock_now(mc_clock_system()) - start < TIME_LEFT_MS);
+	assert_true(harness_now() - start < TIME_LEFT_MS);
 }
 
 /* A number of cancelled requests that is to be passed. */
@@ -601,7 +601,7 @@
 	harness_wait_until("not ready", is_unready_under_load, site);
 	/* Each data shard detects the isolation by requests of its own. */
 	do {
-		start = mc_clock_now(mc_clock_system());
+		start = harness_now();
 		answer = site_send_request(site, 0, "GET", "/all/x",
 					   TIME_LEFT_MS);
 		/* 504: a request sent on a kept-alive connection may have run.
@@ -612,7 +612,7 @@
 	assert_string_equal(answer.body, "cut_off");
 	assert_non_null(strstr(answer.head, "Retry-After: 0."));
 	assert_non_null(strstr(answer.head, "Connection: close"));
-	assert_true(mc_clock_now(mc_clock_system()) - start < TIME_LEFT_MS);
+	assert_true(harness_now() - start < TIME_LEFT_MS);
 	/* Requests for the reachable service are still served. */
 	assert_int_equal(
 		site_send_request(site, 0, "GET", "/one/x", TIME_LEFT_MS)
--- a/tests/system/trouble_test.c
+++ b/tests/system/trouble_test.c
@@ -410,14 +410,13 @@
 				   "ready", "warmupLeftMs", 0, "seq", 1, "born",
 				   1000));
 	harness_wait_until("the entry is read", has_new_target, site);
-	start = mc_clock_now(mc_clock_system());
+	start = harness_now();
 	for (i = 0; i < PATIENT_CALLERS; i++)
 		pthread_create(&callers[i], NULL, run_patient_caller, &counts);
 	for (i = 0; i < PATIENT_CALLERS; i++)
 		pthread_join(callers[i], NULL);
 	print_message("served %u failed %u in %lld ms\n", counts.served,
-		      counts.failed,
-		      (long long)(mc_clock_now(mc_clock_system()) - start));
+		      counts.failed, (long long)(harness_now() - start));
 	assert_int_equal(counts.failed, 0);
 }
 
