relay: a time that is none is not used

The state's new field takes any number; one near the largest would overflow in the sum with the time of HELLO.

Tests: relay_test, test_time_out_of_range; fuzz_wire.

--- a/src/discovery/sync.c
+++ b/src/discovery/sync.c
@@ -18,7 +18,7 @@
 };
 
 /*
- * @short_watch: the watch waits only for a fraction of @apply_max, and is given
+ * @short_watch: the watch waits only for a fraction of the bound, and is given
  *	up when it is late. Set for one kind, whose watch thereby notices that
  *	the store has stopped responding; the other watches are restarted then
  * @batch_delay: pause after a change, so that further changes within it are
@@ -247,8 +247,8 @@
 	sync->state.watch_is_late = false;
 }
 
-/* Begins to wait for the answer to a watch whose changes must be known within
- * @apply_max. */
+/* Begins to wait for the answer to a watch that bounds how late all changes
+ * are known. */
 static void note_short_watch(kind_sync_t *sync)
 {
 	mc_discovery_t *discovery = sync->discovery;
--- a/src/relay/upstream.c
+++ b/src/relay/upstream.c
@@ -27,6 +27,9 @@
 	AVOID_MS = 5000,
 };
 
+/* A longer time since HELLO is not one, ms. */
+static const uint64_t COMPLETE_FOR_MAX_MS = INT64_MAX / 4;
+
 static void set_has_upstream(mc_relay_t *relay, bool has_upstream,
 			     const char *reason)
 {
@@ -116,7 +119,8 @@
 static mc_ms_t complete_at(const mc_relay_t *relay,
 			   const mc_wire_relay_state_t *state, uint32_t kind)
 {
-	if (kind >= state->complete_count || !state->complete_for[kind])
+	if (kind >= state->complete_count || !state->complete_for[kind] ||
+	    state->complete_for[kind] > COMPLETE_FOR_MAX_MS)
 		return 0;
 	return relay->hello_sent_at + (mc_ms_t)state->complete_for[kind];
 }
--- a/tests/fuzz/wire_fuzz.c
+++ b/tests/fuzz/wire_fuzz.c
@@ -34,7 +34,7 @@
 	[MC_WIRE_CONFIG_DIGEST] = "nsst",
 	[MC_WIRE_CONFIG_REQUEST] = "nsst",
 	[MC_WIRE_MOVE] = "nnbbs8(nnnnnnnnnnnnnnnnnn)",
-	[MC_WIRE_RELAY_STATE] = "b*n",
+	[MC_WIRE_RELAY_STATE] = "b*n*n",
 	[MC_WIRE_RELAY_CHANGES] = "kns",
 	[MC_WIRE_RELAY_EVIDENCE] = "*(kkbk)",
 };
--- a/tests/unit/relay_test.c
+++ b/tests/unit/relay_test.c
@@ -141,6 +141,19 @@
 	assert_true(told <= time);
 }
 
+/* A number that is no time says nothing. */
+static void test_time_out_of_range(void **state)
+{
+	fixture_t *fixture = *state;
+
+	set_complete_at(fixture, INT64_MAX);
+	fixture_wait_for(fixture, fixture_has_upstream);
+	usleep(1000000);
+	mc_shard_lock(fixture->shard);
+	assert_false(is_told_time(fixture));
+	mc_shard_unlock(fixture->shard);
+}
+
 static bool is_told_again(const fixture_t *fixture)
 {
 	return fixture->instances[1].known_revisions[1] == 9;
@@ -266,6 +279,9 @@
 		cmocka_unit_test_setup_teardown(test_time_of_completeness,
 						fixture_set_up,
 						fixture_tear_down),
+		cmocka_unit_test_setup_teardown(test_time_out_of_range,
+						fixture_set_up,
+						fixture_tear_down),
 		cmocka_unit_test_setup_teardown(test_time_after_suspension,
 						fixture_set_up,
 						fixture_tear_down),
