--- a/tests/system/late_test.c
+++ b/tests/system/late_test.c
@@ -139,7 +139,7 @@
 	check_unused_after(site, 0, harness_now() + DRAIN_MS);
 }
 
-/* The same of the data centres that are out of service. */
+/* As test_target_leaves, of the data centres that are out of service. */
 static void test_data_center_out(void **state)
 {
 	site_t *site = *state;
@@ -155,7 +155,8 @@
 	return site_metric(ctx, 0, "mangocove_instances") == 2;
 }
 
-/* The same of the instances, whose number divides what targets bear. */
+/* As test_target_leaves, of the instances, whose number divides what targets
+ * bear. */
 static void test_instance_joins(void **state)
 {
 	site_t *site = *state;
